Send each request at once instead of holding it for the probes of its pair

Cause: a request whose pair had old readings was held for probes, twice at most, for 15% of its aim each. Probes that ask for the load wait behind the work, so on a busy fleet the hold ran into its timer. The design says that the present request goes at once and that probes serve later picks.

Ruled out: the network code.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,14 +13,6 @@
 
 /// A report older than this is renewed when its server is drawn: about one service time.
 const FRESH: Millis = 40.0;
-/// A request whose pair has a report older than this many service times waits for the pair's probes,
-const HOLD_AFTER: f64 = 4.0;
-/// for at most this share of its aim,
-const HOLD_FOR: f64 = 0.15;
-/// and this often.
-const HOLDS: u32 = 2;
-/// What was asked for is one pair, not the fleet: a queue that long at the better of two is long everywhere.
-const HELD_ROOM: f64 = 0.6;
 /// A report older than this says nothing any more; the mean of the known servers stands in.
 const STALE: Millis = 1_000.0;
 /// When more than this share of the reports that can tell are late, none is believed.
@@ -116,10 +108,11 @@
                 self.finished(end, out);
             }
             Event::Abandoned(request) => self.abandoned(request, out),
-            Event::Probed { upstream, answered, report } => self.probed(upstream, answered, report, out),
+            Event::Probed { upstream, answered, report } => self.heard(upstream, answered, report),
             Event::Listed(news) => self.listed(news, out),
             Event::Woke(0) if std::mem::take(&mut self.seen.ask_pending) => out.push(Action::Subscribe),
-            Event::Woke(token) => self.resume(token, out),
+            // Of a timer that nothing waits for any more.
+            Event::Woke(_) => {}
         }
     }
 
@@ -145,10 +138,6 @@
         let Some(held) = self.requests.get(&request).cloned() else { return };
         let candidates = self.survey(&held);
         let chosen = self.draw(&candidates, &held, out);
-        // On old readings, sidecars that send seldom crowd onto the same servers, or refuse what has room.
-        if let Some(pair) = chosen.filter(|pair| pair.iter().any(|c| c.unsure)) {
-            return self.hold(request, pair, out);
-        }
         let refused = f64::from(u8::from(chosen.is_none()));
         self.seen.refused += SMOOTH_ALL * (refused - self.seen.refused);
         let class = &mut self.seen.service[held.class.0];
@@ -169,23 +158,6 @@
         to.warmth >= 1.0 || self.rng.rand_float() < share * (1.0 - self.seen.refused)
     }
 
-    /// Waits for the probes of a pair. Timers are numbered in 63 bits: two requests may share one.
-    fn hold(&mut self, request: RequestId, pair: [Candidate; 2], out: &mut Vec<Action>) {
-        let Some(held) = self.requests.get_mut(&request) else { return };
-        (held.pair, held.odds, held.holds) = (Some(pair.map(|c| c.id)), pair[0].odds, held.holds + 1);
-        let at = self.now + HOLD_FOR * self.settings.classes[held.class.0].aim;
-        out.push(Action::WakeAt { at: at.min(held.deadline), token: request.0 >> 1 });
-    }
-
-    /// Goes on with what is held until this timer.
-    fn resume(&mut self, token: u64, out: &mut Vec<Action>) {
-        for request in [token << 1, token << 1 | 1].map(RequestId) {
-            if self.requests.get(&request).is_some_and(|held| held.pair.is_some()) {
-                self.place(request, out);
-            }
-        }
-    }
-
     /// The share of the time left to its aim that a request's wait may take. Under overload queues fill up
     /// to it, so work that earns less for its service time than the usual is the first to be refused.
     fn room(&self, held: &Held) -> f64 {
@@ -235,8 +207,6 @@
     fn survey(&self, held: &Held) -> Vec<Candidate> {
         let service = self.seen.service[held.class.0].time;
         let means = Means::of(self.upstreams.values(), self.now - STALE);
-        let spare = self.aim_left(held) > 2.0 * HOLD_FOR * self.settings.classes[held.class.0].aim;
-        let may_hold = self.settings.limits.probes && held.holds < HOLDS && spare;
         let mut candidates = Vec::with_capacity(self.upstreams.len());
         for (&id, upstream) in &self.upstreams {
             if !upstream.serving || !self.may_reach(held, upstream) {
@@ -249,7 +219,6 @@
             candidates.push(Candidate {
                 id,
                 near: upstream.zone == self.settings.zone,
-                unsure: may_hold && self.now - upstream.reported_at > HOLD_AFTER * service,
                 // One that has just failed this request is the likeliest to fail it again.
                 healthy: self.takes_part(upstream) && held.tries.iter().all(|t| t.upstream != id),
                 projected: (in_flight + 1.0) / kappa * slowness,
@@ -334,32 +303,29 @@
     /// Two random servers among those with room, near ones first; the smaller projected utilisation wins.
     fn draw(&mut self, all: &[Candidate], held: &Held, out: &mut Vec<Action>) -> Option<[Candidate; 2]> {
         let aim_left = self.aim_left(held);
-        let room = self.room(held) * aim_left * if held.holds > 0 { HELD_ROOM } else { 1.0 };
+        let room = self.room(held) * aim_left;
         let mut open: Vec<Candidate> = all.iter().filter(|c| c.healthy).copied().collect();
         if open.is_empty() {
             // Everyone looks bad: rather ask someone than no one.
             open = all.to_vec();
         }
         // An idle server always has room: else a service time learnt in a jam would lock everyone out.
-        open.retain(|c| c.unsure || c.idle || c.wait <= room);
+        open.retain(|c| c.idle || c.wait <= room);
         // With roughly exponential answer times one expected at `wait` misses its aim with probability
         // exp(-aim/wait): while that is below the fee, crossing does not pay.
         let fee = self.settings.crossing_fee;
         let near_limit = if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 };
-        let near = |c: &Candidate| c.near && (c.wait <= near_limit || c.unsure && fee > 0.0);
-        let limit = |c: &Candidate| if held.holds == 1 && c.near { near_limit.min(room) } else { room };
-        let suits = |c: &Candidate| held.pair.is_some_and(|p| p.contains(&c.id)) && c.wait <= limit(c);
-        let known = open.iter().any(suits);
-        if known {
-            open.retain(suits);
-        } else if held.holds == 0 && open.iter().any(near) {
+        let near = |c: &Candidate| c.near && c.wait <= near_limit;
+        if open.iter().any(near) {
             open.retain(near);
         }
-        let odds = if known { held.odds } else { open.len() as f64 / all.len() as f64 };
+        let odds = open.len() as f64 / all.len() as f64;
         open.iter_mut().for_each(|c| c.odds = odds);
-        let pair = self.pair(&open)?;
-        pair.iter().for_each(|drawn| self.probe(drawn.id, out));
-        Some(pair)
+        let pair = self.pair(&open);
+        // Where none has room a pair of all is asked: what is never drawn would look full for good.
+        let asked = pair.or_else(|| self.pair(all));
+        asked.into_iter().flatten().for_each(|drawn| self.probe(drawn.id, out));
+        pair
     }
 
     /// A random pair of distinct members; the one there is, twice, where there is only one.
@@ -389,7 +355,6 @@
         let this = Try::new(to.id, upstream, sent);
         if let Some(held) = self.requests.get_mut(&request) {
             held.tries.push(this);
-            held.pair = None;
         }
         out.push(Action::Send { request, upstream: to.id, timeout });
     }
@@ -486,14 +451,6 @@
         }
     }
 
-    fn probed(&mut self, id: UpstreamId, answered: bool, report: Option<Report>, out: &mut Vec<Action>) {
-        self.heard(id, answered, report);
-        let heard = |id: &UpstreamId| self.upstreams.get(id).is_none_or(|u| u.probe_sent.is_none());
-        let ready = |held: &Held| held.pair.is_some_and(|p| p.contains(&id) && p.iter().all(heard));
-        let held: Vec<_> = self.requests.iter().filter(|(_, h)| ready(h)).map(|(id, _)| *id).collect();
-        held.into_iter().for_each(|request| self.place(request, out));
-    }
-
     fn heard(&mut self, id: UpstreamId, answered: bool, report: Option<Report>) {
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
         let asked_at = upstream.probe_sent.take().unwrap_or(self.now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,17 +30,12 @@
     pub arrived: Millis,
     pub deadline: Millis,
     pub tries: Vec<Try>,
-    /// The pair drawn for it while its probes are out, and how often it was held for one.
-    pub pair: Option<[UpstreamId; 2]>,
-    /// The share of all candidates that it was drawn from.
-    pub odds: f64,
-    pub holds: u32,
 }
 
 impl Held {
     pub fn new(class: ClassId, tenant: TenantId, arrived: Millis, time_left: Millis) -> Held {
         let deadline = arrived + time_left;
-        Held { class, tenant, arrived, deadline, tries: Vec::new(), pair: None, odds: 1.0, holds: 0 }
+        Held { class, tenant, arrived, deadline, tries: Vec::new() }
     }
 }
 
@@ -196,8 +191,6 @@
 pub(crate) struct Candidate {
     pub id: UpstreamId,
     pub near: bool,
-    /// Its load is not known of late, and may yet be asked for before the request is placed.
-    pub unsure: bool,
     pub healthy: bool,
     pub warmth: f64,
     /// The share of all candidates that its pair was drawn from.
