Average what others have at a server instead of believing one late report

Cause: the load report in an answer was taken for the server's state at that moment, and every send of ours until then for part of it. Servers make reports anew every 0.3 to 1.5 s and they arrive up to 0.4 s late, so one old low reading drew all sidecars onto the same server until the next, and one old high reading shut a server that had room; refused clients come back at once and add to it. Now m is our own open sends, which are known exactly, plus the running mean of what reports show beyond them. A probe's answer is believed at once: it is sent only where nothing was heard for a second. The share of late reports, which only probes could tell, has nothing left to decide and goes.

The new test fails on the old code.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,10 +14,10 @@
 /// A report older than this says nothing any more: the mean of the known servers stands in, and a probe goes
 /// out when its server is drawn. Servers make reports anew about this often: asking earlier tells nothing.
 const STALE: Millis = 1_000.0;
-/// When more than this share of the reports that can tell are late, none is believed.
-const LATE: f64 = 0.1;
 /// In-flight is averaged over about this time, as servers average their utilisation.
 const MEANS_OVER: Millis = 700.0;
+/// What others have at a server is averaged over about this time: each report is of some moment in it.
+const OTHERS_OVER: Millis = 2_000.0;
 /// From here on a server counts as saturated: in-flight / utilisation then only bounds κ from above.
 const SATURATED: f64 = 0.9;
 /// A rising κ is believed this much slower.
@@ -260,15 +260,11 @@
         (kind + (upstream.kappa.unwrap_or(kind) - kind) * fade).max(0.1)
     }
 
-    /// m: the last report and our sends since; an unheard server takes the mean m of the known ones.
+    /// m: what the others have there by its reports, and what we ourselves have out; an unheard server takes
+    /// the mean of what others have at the known ones.
     fn in_flight(&self, upstream: &Upstream, means: &Means) -> f64 {
-        let own = upstream.outstanding.len() as f64;
-        if self.now - upstream.reported_at > STALE || self.seen.lateness > LATE {
-            return means.in_flight + own;
-        }
-        let since = upstream.outstanding.iter().filter(|o| o.sent >= upstream.counted_from).count();
-        // A report below what we ourselves have out there is old, whatever it says.
-        (upstream.reported + since as f64).max(own)
+        let known = self.now - upstream.reported_at <= STALE;
+        upstream.outstanding.len() as f64 + if known { upstream.others.max(0.0) } else { means.others }
     }
 
     /// Service time relative to the mean server, from answers and from sends that are long unanswered.
@@ -415,7 +411,7 @@
             self.learn(id, sent, latency, outcome == Outcome::Ok);
         }
         if let Some(report) = end.report {
-            self.take_report(id, report, self.now);
+            self.take_report(id, report, 0.0);
         }
         let failed = match outcome {
             Outcome::Ok => false,
@@ -452,27 +448,24 @@
 
     fn heard(&mut self, id: UpstreamId, answered: bool, report: Option<Report>) {
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        let asked_at = upstream.probe_sent.take().unwrap_or(self.now);
-        let (Some(report), true) = (report, answered) else { return };
-        // Reports carry no age. One that lacks what we had out there when we asked is late, and
-        // when many are, none is believed: each server then counts as unheard.
-        let ours = upstream.outstanding.iter().filter(|o| o.sent < asked_at).count() as f64;
-        if let Some(in_flight) = report.in_flight.filter(|_| ours > 1.0) {
-            let late = f64::from(u8::from(in_flight + 1.0 < ours));
-            self.seen.lateness += SMOOTH_ALL * (late - self.seen.lateness);
+        upstream.probe_sent = None;
+        if let (Some(report), true) = (report, answered) {
+            self.take_report(id, report, 1.0);
         }
-        self.take_report(id, report, asked_at);
     }
 
-    /// Takes in a server's own figures; sends from `asked_at` on are not in them.
-    fn take_report(&mut self, id: UpstreamId, report: Report, asked_at: Millis) {
+    /// Takes in a server's own figures; what others have there by them counts for at least this share.
+    fn take_report(&mut self, id: UpstreamId, report: Report, least: f64) {
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
         let Some(in_flight) = report.in_flight.filter(|m| m.is_finite() && *m >= 0.0) else { return };
         // Utilisation is a running mean while in-flight is of the moment: only means of both may be divided.
-        let weight = 1.0 - (-(self.now - upstream.reported_at) / MEANS_OVER).exp();
-        upstream.reported = in_flight;
+        let weight_over = |time: Millis| 1.0 - (-(self.now - upstream.reported_at) / time).exp();
+        let (weight, others_weight) = (weight_over(MEANS_OVER), weight_over(OTHERS_OVER));
+        // A report tells of a moment that may be seconds ago, not of which: what we have out now is not in
+        // it, nor is it in our hands to say since when. Over several, reports show what others have besides.
+        let others = in_flight - upstream.outstanding.len() as f64;
+        upstream.others += others_weight.max(least) * (others - upstream.others);
         upstream.reported_at = self.now;
-        upstream.counted_from = asked_at;
         upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
         let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
         // Servers that start with us begin their mean at 0: early ratios would call them huge.
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,8 +124,6 @@
     pub usual_density: Option<f64>,
     /// Each tenant's share of our arrivals.
     pub tenant_shares: Vec<f64>,
-    /// Share of the telling reports that were late.
-    pub lateness: f64,
     /// When the first report came.
     pub first_at: Option<Millis>,
     /// The span over which the next call to discovery is spread, and whether one is to come.
@@ -144,7 +142,6 @@
             room_scale: 1.0,
             usual_density: None,
             tenant_shares: vec![0.0; tenants],
-            lateness: 0.0,
             first_at: None,
             ask_wait: 0.0,
             ask_pending: false,
@@ -171,11 +168,9 @@
     pub kappa: Option<f64>,
     /// Running mean of the reports.
     pub mean_in_flight: f64,
-    /// In flight by the last report, less those of ours that have been answered since.
-    pub reported: f64,
+    /// Running mean of what its reports hold beyond our own sends.
+    pub others: f64,
     pub reported_at: Millis,
-    /// Sends from here on are not in the last report.
-    pub counted_from: Millis,
     pub probe_sent: Option<Millis>,
     pub outstanding: Vec<Outstanding>,
     /// Service time relative to the mean of all servers.
@@ -204,7 +199,8 @@
 
 /// Means over the known servers, which stand in for what is not known of others.
 pub(crate) struct Means {
-    pub in_flight: f64,
+    /// What other sidecars have at one server.
+    pub others: f64,
 }
 
 impl Upstream {
@@ -218,9 +214,8 @@
             started: entry.started,
             kappa: None,
             mean_in_flight: 0.0,
-            reported: 0.0,
+            others: 0.0,
             reported_at: f64::NEG_INFINITY,
-            counted_from: f64::NEG_INFINITY,
             probe_sent: None,
             outstanding: Vec::new(),
             slowness: 1.0,
@@ -258,24 +253,18 @@
     /// Strikes a send off the books.
     pub fn take(&mut self, request: RequestId, attempt: AttemptNo) -> Option<Outstanding> {
         let matching = |o: &Outstanding| o.request == request && o.attempt == attempt;
-        let sent = self.outstanding.remove(self.outstanding.iter().position(matching)?);
-        if sent.sent < self.counted_from {
-            self.reported = (self.reported - 1.0).max(0.0);
-        }
-        Some(sent)
+        Some(self.outstanding.remove(self.outstanding.iter().position(matching)?))
     }
 }
 
 impl Means {
-    /// Over the serving servers; in flight is that of others, from reports since a given time.
+    /// Over the serving servers that were heard from since a given time.
     pub fn of<'a>(upstreams: impl Iterator<Item = &'a Upstream>, heard_since: Millis) -> Means {
-        let (mut in_flight, mut heard) = (0.0, 0.0);
-        for upstream in upstreams.filter(|upstream| upstream.serving) {
-            if upstream.reported_at >= heard_since {
-                in_flight += upstream.reported - upstream.outstanding.len() as f64;
-                heard += 1.0;
-            }
+        let (mut others, mut heard) = (0.0, 0.0);
+        for upstream in upstreams.filter(|u| u.serving && u.reported_at >= heard_since) {
+            others += upstream.others;
+            heard += 1.0;
         }
-        Means { in_flight: if heard > 0.0 { f64::max(in_flight / heard, 0.0) } else { 0.0 } }
+        Means { others: if heard > 0.0 { f64::max(others / heard, 0.0) } else { 0.0 } }
     }
 }
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -264,6 +264,37 @@
     );
 }
 
+/// Guards against herding on a low reading: the reports in answers are of some moment before, and one that shows a
+/// crowded server as empty does not make it the emptiest.
+#[test]
+fn one_low_reading_in_an_answer_does_not_empty_a_server() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    stage.settle(&[1, 2], 2.0, 0.25);
+    let on_the_first = loop {
+        let (request, actions) = stage.arrive(REPEATABLE);
+        let to = sent_to(&actions).expect("there is room");
+        if to == UpstreamId(1) {
+            break request;
+        }
+        stage.finish(request, 0, to, Outcome::Ok, 20.0);
+    };
+    stage.settle(&[2], 2.0, 0.25);
+    stage.settle(&[1], 6.0, 0.75);
+    stage.settle(&[2], 2.0, 0.25);
+    stage.settle(&[1], 6.0, 0.75);
+    stage.event(Event::Finished(Finished {
+        request: on_the_first,
+        attempt: AttemptNo(0),
+        upstream: UpstreamId(1),
+        outcome: Outcome::Ok,
+        latency: 20.0,
+        closed: true,
+        report: Some(Report { in_flight: Some(0.0), utilisation: Some(0.75), ..Report::default() }),
+    }));
+    stage.report(2, 2.0, 0.25);
+    assert_eq!(sent_to(&stage.arrive(REPEATABLE).1), Some(UpstreamId(2)), "the others still have six there");
+}
+
 /// Guards against a storm of probes: servers make their reports anew a few times a second at most, and every probe
 /// costs them work and a connection. What answers tell needs no asking.
 #[test]
