Count failures against a server in the pick, and let only trials end an ejection

Cause: a server that errs or breaks off at once shows few in flight and keeps winning, all the more where it is near. Ejection did not help: the failing servers failed a quarter to a third, less than the bar, and an answer to a send from before the ejection counted as a trial and brought a server back in the same millisecond. Now a server that fails clearly more often than the mean server loses its nearness and weighs more in the comparison, the rate fades while nothing is sent there, and only what was sent after the ejection's time is a trial.

Evidence: event5985 failed 12 to 15% from 5 to 15 s, class jegykiadas worst. Counted per server in the log: the 500s came from three of nine, 22 to 38% of their answers, and one sidecar sent two of these a third to a half of its requests; 28 ejections had 28 returns, many within 10 ms.

Resets of about one attempt in ten on every server are left, which is the network's.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,6 +55,12 @@
 const PATIENCE: f64 = 4.0;
 /// Time left to the aim when another attempt is tried, in service times.
 const RETRY_ROOM: f64 = 1.5;
+/// From here on a server fails so much more often than its peers that it is not chance.
+const FAILS_MORE: f64 = 0.1;
+/// How strongly failing more often than its peers counts against a server: what errs at once looks idle.
+const FAILURE_WEIGHT: i32 = 4;
+/// A server's failure rate fades over this time while nothing is sent there.
+const FAILURES_FADE: Millis = 5_000.0;
 /// A server is ejected when its failure rate is this far above that of its peers.
 const EJECT_ABOVE: f64 = 0.4;
 /// At most this share of the servers may be ejected: if more look bad, we or the network may be at fault.
@@ -206,6 +212,7 @@
     fn survey(&self, held: &Held) -> Vec<Candidate> {
         let service = self.seen.service[held.class.0].time;
         let means = Means::of(self.upstreams.values(), self.now - STALE);
+        let usual_failures = self.usual_failures();
         let mut candidates = Vec::with_capacity(self.upstreams.len());
         for (&id, upstream) in &self.upstreams {
             if !upstream.serving || !self.may_reach(held, upstream) {
@@ -215,12 +222,16 @@
             let warmth = upstream.warmth(self.now, &self.settings.safety);
             let slowness = self.slowness(upstream) / warmth;
             let depth = ((in_flight + 1.0) / kappa).max(1.0);
+            // One that was ejected is judged by its trials.
+            let fails = if upstream.health == Health::Ready { self.failures(upstream) } else { 0.0 };
+            let more = fails - usual_failures;
+            let failing = if more > FAILS_MORE { more.min(0.9) } else { 0.0 };
             candidates.push(Candidate {
                 id,
-                near: upstream.zone == self.settings.zone,
+                near: upstream.zone == self.settings.zone && failing == 0.0,
                 // One that has just failed this request is the likeliest to fail it again.
                 healthy: self.takes_part(upstream) && held.tries.iter().all(|t| t.upstream != id),
-                projected: (in_flight + 1.0) / kappa * slowness,
+                projected: (in_flight + 1.0) / kappa * slowness / (1.0 - failing).powi(FAILURE_WEIGHT),
                 depth,
                 // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
                 idle: in_flight + 1.0 <= (IDLE * kappa).max(2.5 - IDLE_CROWDED * self.seen.refused),
@@ -285,6 +296,19 @@
         pace + (upstream.slowness - pace) * (-(self.now - upstream.learnt_at) / FORGET).exp()
     }
 
+    /// The share of a server's attempts that failed of late; it fades while nothing is sent there.
+    fn failures(&self, upstream: &Upstream) -> f64 {
+        upstream.failure_rate * (-(self.now - upstream.judged_at) / FAILURES_FADE).exp()
+    }
+
+    /// The failure rate of the mean serving server.
+    fn usual_failures(&self) -> f64 {
+        let serving = self.upstreams.values().filter(|upstream| upstream.serving);
+        let (sum, count) =
+            serving.fold((0.0, 0.0), |(sum, count), upstream| (sum + self.failures(upstream), count + 1.0));
+        sum / f64::max(count, 1.0)
+    }
+
     fn takes_part(&self, upstream: &Upstream) -> bool {
         match upstream.health {
             Health::Ready => true,
@@ -420,7 +444,7 @@
             Outcome::TimedOut if silent && latency >= PATIENCE * sent.to.wait => true,
             _ => return,
         };
-        self.judge(id, failed, out);
+        self.judge(id, sent.sent, failed, out);
     }
 
     /// An answer tells the class's service time and this server's pace, with the queue taken out; a time-out
@@ -484,26 +508,29 @@
         upstream.kappa = Some(known + (sample - known) * if sample < known { 1.0 } else { rise });
     }
 
-    /// Counts an outcome for or against a server: outlier ejection with half-open trials.
-    fn judge(&mut self, id: UpstreamId, failed: bool, out: &mut Vec<Action>) {
+    /// Counts an outcome for or against a server: outlier ejection with half-open trials. A send from before
+    /// the ejection is no trial.
+    fn judge(&mut self, id: UpstreamId, sent: Millis, failed: bool, out: &mut Vec<Action>) {
         let serving: Vec<&Upstream> = self.upstreams.values().filter(|u| u.serving).collect();
         let count = serving.len() as f64;
-        let bar = EJECT_ABOVE + serving.iter().map(|u| u.failure_rate).sum::<f64>() / count.max(1.0);
+        let bar = EJECT_ABOVE + self.usual_failures();
         let ejected = serving.iter().filter(|u| u.health != Health::Ready).count() as f64;
         let may_eject = count > 1.0 && ejected + 1.0 <= (EJECT_SHARE * count).max(1.0);
         let (now, spread) = (self.now, 0.75 + 0.5 * self.rng.rand_float());
+        let Some(known) = self.upstreams.get(&id).map(|upstream| self.failures(upstream)) else { return };
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        upstream.failure_rate += SMOOTH * (f64::from(u8::from(failed)) - upstream.failure_rate);
+        upstream.failure_rate = known + SMOOTH * (f64::from(u8::from(failed)) - known);
+        upstream.judged_at = now;
         let eject = |wait: Millis| Health::Ejected { until: now + wait * spread, wait };
         match upstream.health {
             Health::Ready if failed && may_eject && upstream.failure_rate > bar => {
                 upstream.health = eject(EJECT_FOR[0]);
                 out.push(Action::Log(format!("server {} ejected for failures", id.0)));
             }
-            Health::Ejected { until, wait } if failed && now >= until => {
+            Health::Ejected { until, wait } if failed && sent >= until => {
                 upstream.health = eject((wait * 2.0).min(EJECT_FOR[1]));
             }
-            Health::Ejected { .. } if !failed && upstream.failure_rate < bar => {
+            Health::Ejected { until, .. } if !failed && sent >= until && upstream.failure_rate < bar => {
                 upstream.health = Health::Ready;
                 out.push(Action::Log(format!("server {} is back after trials", id.0)));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -178,6 +178,7 @@
     pub learnt_at: Millis,
     pub answered_at: Millis,
     pub failure_rate: f64,
+    pub judged_at: Millis,
     pub health: Health,
 }
 
@@ -222,6 +223,7 @@
             learnt_at: f64::NEG_INFINITY,
             answered_at: f64::NEG_INFINITY,
             failure_rate: 0.0,
+            judged_at: f64::NEG_INFINITY,
             health: Health::Ready,
         }
     }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -42,6 +42,48 @@
     assert!(back > 100, "{back} of 2,000 after it had recovered");
 }
 
+/// Guards against servers that fail a third of what they get, and soon: too seldom to be ejected, they look idle.
+#[test]
+fn a_server_that_fails_more_than_its_peers_gets_less() {
+    let mut stage = Stage::new(settings(), (1..=5).map(listing).collect());
+    let (mut to_bad, mut failures) = (0, 0);
+    for _ in 0..1_000 {
+        stage.now += 10.0;
+        let (request, actions) = stage.arrive(ONCE);
+        let to = sent_to(&actions).expect("there is room");
+        to_bad += usize::from(to.0 == 1);
+        let fails = to.0 == 1 && to_bad % 3 == 0;
+        failures += usize::from(fails);
+        stage.finish(request, 0, to, if fails { Outcome::Error } else { Outcome::Ok }, 30.0);
+    }
+    assert!(failures > 0 && to_bad < 130, "{to_bad} of 1,000 went to one of five, {failures} failed");
+}
+
+/// Guards against an ejection that ends as it begins: what a server still answers of before is no trial.
+#[test]
+fn an_answer_to_an_earlier_send_brings_no_server_back() {
+    let mut stage = Stage::new(settings(), (1..=5).map(listing).collect());
+    stage.settle(&[1, 2, 3, 4, 5], 2.0, 0.1);
+    let mut early = Vec::new();
+    for _ in 0..60 {
+        let (request, actions) = stage.arrive(ONCE);
+        if sent_to(&actions) == Some(UpstreamId(1)) {
+            early.push(request);
+        }
+    }
+    let (failing, late) = early.split_at(6);
+    assert!(late.len() > 2, "sent before anything failed: {}", early.len());
+    let ejected = failing.iter().any(|request| {
+        let actions = stage.finish(*request, 0, UpstreamId(1), Outcome::Error, 30.0);
+        actions.iter().any(|action| matches!(action, Action::Log(text) if text.contains("ejected")))
+    });
+    assert!(ejected);
+    for request in late {
+        let actions = stage.finish(*request, 0, UpstreamId(1), Outcome::Ok, 30.0);
+        assert_eq!(actions, [], "it stays ejected");
+    }
+}
+
 /// Guards against ejecting everyone when the network or we ourselves are at fault.
 #[test]
 fn not_all_are_ejected() {
