Let the module have the last word on a request whose time ran out unheard

Cause: the driver's own end for a request comes 1.5 ms after the attempts' end. A process held up for longer than that found both due at once, looked at its own first and answered 502 where the module would have refused with 503. The inherited test every_request_is_answered_before_its_client_gives_up depends on that race: it failed once in eight runs of the suite here (502 for 503).

Now the driver tells the module first that the attempts' time is up, and fails the request itself only if the module has no word for it.

The new test stops the process across the deadline; without the change it reads 502.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -246,11 +246,7 @@
         while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
             match entry.remove() {
                 Timer::Wake(token) => self.event(Event::Woke(token)),
-                Timer::Backstop(request) => {
-                    // The module answers in time unless it is at fault or the process was held up.
-                    self.finish(request, Final::Failed);
-                    self.leave(request);
-                }
+                Timer::Backstop(request) => self.backstop(request),
                 Timer::Sweep => {
                     let limit = self.idle_limit();
                     self.servers.pools().for_each(|pool| pool.sweep(limit));
@@ -261,6 +257,21 @@
         }
     }
 
+    /// Ends a request whose time is over. Where the process was held up, its attempts have run out of time as
+    /// well and could not say so yet: the module hears of them and has the last word. Only where it is at fault
+    /// has it none.
+    fn backstop(&mut self, request: RequestId) {
+        let all = (request, AttemptNo(0))..=(request, AttemptNo(u32::MAX));
+        let out: Vec<Flight> = self.sent.range(all).map(|(_, sent)| sent.flight).collect();
+        for flight in out {
+            self.ended(flight, End::Outcome(Outcome::TimedOut, None));
+        }
+        if self.open.contains_key(&request) {
+            self.finish(request, Final::Failed);
+            self.leave(request);
+        }
+    }
+
     fn idle_limit(&self) -> Duration {
         Duration::from_secs_f64(self.settings.keepalive_ms() * IDLE_SHARE / 1e3)
     }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -210,6 +210,20 @@
     }
 }
 
+/// Guards against a last word that depends on which of two timers a sidecar that was held up looks at first.
+#[test]
+fn a_sidecar_that_was_held_up_lets_the_module_have_the_last_word() {
+    let silent = Upstream::new(|_| Deed::Silence);
+    let (sidecar, _discovery) = Sidecar::with(&[&silent]);
+    let mut client = Client::to(sidecar.address);
+    client.send("fetch", 400);
+    until("it has arrived", || silent.requests().len() == 1);
+    sidecar.signal("-STOP");
+    std::thread::sleep(Duration::from_millis(500));
+    sidecar.signal("-CONT");
+    assert_eq!(client.read().expect("an answer").status(), 503, "trying again is harmless, and it says so");
+}
+
 #[test]
 fn a_request_with_little_time_is_tried_all_the_same() {
     let upstream = Upstream::new(|_| Deed::ok("served"));
