Keep room on empty servers however much is refused, so that a jam can end

Cause: what lets an idle server be used whatever was learnt of it shrinks with the share of refusals, and past 75% it came to less than the one request an empty server needs. Time-outs in a short jam made every server look 10 to 30 times slower than usual, so nothing had room; with nothing sent nothing could correct it, and clients that retry at once kept the share of refusals up.

The 60% refused from 25 s are left: the jam itself.

Ruled out: ejection (none then), connections and errors (conn 13 to 22, err 0 or 1 in those stretches), cold servers (all warm), the shrinking room scale (0.42 to 0.64 then, with empty servers beside it). The new test fails without the change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,8 +44,9 @@
 const EVEN: f64 = 0.5;
 /// A server this little used, with one request more, counts as idle.
 const IDLE: f64 = 0.5;
-/// One with at most one in flight does so too, while few are refused; this is what refusals weigh.
-const IDLE_CROWDED: f64 = 2.0;
+/// One with at most one in flight does so too, while few are refused; this is what refusals weigh. Up to 1.5
+/// an empty server always counts as idle; the rest is for the fraction that others seem to have there.
+const IDLE_CROWDED: f64 = 1.0;
 /// Further attempts, as a share of first ones, and how many may be saved up.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -355,6 +355,27 @@
     }
 }
 
+/// Guards against refusals that outlast a jam: time-outs make servers look slow, and while nearly all is refused even
+/// empty ones once had no room, so that no answer could correct it.
+#[test]
+fn an_empty_server_has_room_while_nearly_all_is_refused() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    stage.settle(&[1, 2], 1.0, 0.8);
+    for _ in 0..20 {
+        let (request, actions) = stage.arrive(ONCE);
+        let Some(to) = sent_to(&actions) else { continue };
+        stage.now += 480.0;
+        stage.finish(request, 0, to, Outcome::TimedOut, 480.0);
+        [1, 2].into_iter().for_each(|id| stage.report(id, 0.0, 0.8));
+    }
+    [1, 2].into_iter().for_each(|id| stage.report(id, 60.0, 1.0));
+    let refusals = (0..300).filter(|_| refused(&stage.arrive(REPEATABLE).1)).count();
+    assert!(refusals > 200, "{refusals} of 300");
+    stage.now += 50.0;
+    [1, 2].into_iter().for_each(|id| stage.report(id, 0.0, 0.8));
+    assert!(sent_to(&stage.arrive(REPEATABLE).1).is_some(), "both are empty");
+}
+
 /// Guards against a hung server that looks idle: an old unanswered send counts against it before any time-out.
 #[test]
 fn silence_counts_as_slowness() {
