Smooth what a time-out tells of a server's slowness, as answers are smoothed

Cause: a time-out sets a bound on how slow its server may be, and that bound was taken whole: half of the time waited over the usual service time, 10 to 30. One heavy request, of which the long-tailed work has many, made its server look useless for seconds; a burst of them did so to the whole fleet, and what had room was refused.

The usual service time was 7 to 26 ms, aims 210 to 330 ms.

A hung server is still told by its silence (silence_counts_as_slowness). The new test fails with the bound taken whole.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,6 +26,8 @@
 const UTILISATION_FLOOR: f64 = 0.1;
 /// Weight of a new sample in the slowness and the failure rate of one server.
 const SMOOTH: f64 = 0.15;
+/// The same for a time-out, which only bounds the slowness: one heavy request must not brand its server.
+const LATE_SMOOTH: f64 = 0.3;
 /// Weight of a new sample in what all servers or all arrivals feed.
 const SMOOTH_ALL: f64 = 0.02;
 /// The service time assumed at first, as a share of the class's aim.
@@ -458,7 +460,7 @@
         let alone = latency * warmth / sent.to.depth;
         let service = &mut self.seen.service[sent.class.0];
         let pace = alone / service.time;
-        let (seen, weight) = if answered { (pace, SMOOTH) } else { (known.max(AGEING * pace), 1.0) };
+        let (seen, weight) = if answered { (pace, SMOOTH) } else { (known.max(AGEING * pace), LATE_SMOOTH) };
         upstream.slowness = known + weight * (seen - known);
         upstream.learnt_at = self.now;
         self.seen.kinds.entry(upstream.kind).or_default().answered(seen, SMOOTH_ALL);
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -376,6 +376,34 @@
     assert!(sent_to(&stage.arrive(REPEATABLE).1).is_some(), "both are empty");
 }
 
+/// Guards against branding a server for one heavy request: its time-out once set the slowness to all it could mean, and
+/// a few of them together shut the whole fleet.
+#[test]
+fn one_time_out_does_not_take_a_servers_room() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    let ids = [1, 2];
+    stage.settle(&ids, 3.0, 0.75);
+    let mut timed_out = Vec::new();
+    for _ in 0..40 {
+        let (request, actions) = stage.arrive(ONCE);
+        let to = sent_to(&actions).expect("there is room");
+        stage.now += 30.0;
+        if timed_out.contains(&to) || timed_out.len() == 2 {
+            stage.finish(request, 0, to, Outcome::Ok, 30.0);
+        } else {
+            timed_out.push(to);
+            stage.finish(request, 0, to, Outcome::TimedOut, 480.0);
+        }
+        if timed_out.len() == 2 {
+            break;
+        }
+        ids.iter().for_each(|id| stage.report(*id, 3.0, 0.75));
+    }
+    assert_eq!(timed_out.len(), 2, "one on each");
+    ids.iter().for_each(|id| stage.report(*id, 3.0, 0.75));
+    assert!(sent_to(&stage.arrive(REPEATABLE).1).is_some(), "three of four in hand is no queue");
+}
+
 /// Guards against a hung server that looks idle: an old unanswered send counts against it before any time-out.
 #[test]
 fn silence_counts_as_slowness() {
