Draw from a part of a large fleet's servers instead of from all of them

Eight servers that err four times out of five were sent twice what a good one got from 9 to 12 s, since a sidecar has one sample of each in three seconds.

Checked and excluded: the network code keeps and reuses its connections (none was closed as idle, few sends found a stale one); the servers' caps (a connection was refused only where a process was gone); the list (no failed watch in the logs).

At fault: `survey` in src/brain.rs, which made every ready server a candidate, however many sidecars there are and however few requests this one has. Now each takes a stretch of every zone's ring, by its number: at least 12 servers, as many as it sends requests a second, and enough that each server is drawn from by about ten sidecars. Who is ejected or cold counts less, and the next on the ring steps in.

--- a/src/api.rs
+++ b/src/api.rs
@@ -141,6 +141,8 @@
     pub zone: ZoneId,
     /// How many sidecars there are, this one included.
     pub sidecars: u32,
+    /// The number of this one among them, from 0; `None` where it is not told.
+    pub rank: Option<u32>,
     /// What one zone crossing costs, as a fraction of a mean request's worth.
     pub crossing_fee: f64,
     /// Allowances.
@@ -169,6 +171,8 @@
     pub zone: ZoneId,
     /// Its cell.
     pub cell: CellId,
+    /// Its place among all servers in an order that tells nothing else and that every sidecar sees alike.
+    pub spot: u64,
     /// What kind of machine it is.
     pub kind: KindId,
     /// Whether it takes new work.
--- a/src/bin/sagemast-simhost/wire.rs
+++ b/src/bin/sagemast-simhost/wire.rs
@@ -1,7 +1,7 @@
 //! The simulator's wire: JSON lines, read into types and turned into the module's own terms.
 
 use sagemast::api::*;
-use sagemast::settings::Config;
+use sagemast::settings::{Config, spot};
 use serde::{Deserialize, Serialize};
 
 #[derive(Deserialize)]
@@ -157,6 +157,7 @@
             upstream: UpstreamId(row.upstream),
             zone: ZoneId(row.hall),
             cell: CellId(row.stripe),
+            spot: spot(&row.upstream.to_be_bytes()),
             kind: KindId(row.shape),
             lifecycle: match row.lifecycle {
                 WireLifecycle::InService => Lifecycle::Serving,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -80,12 +80,14 @@
 /// The decision module of one sidecar. The same seed, settings and events give the same actions.
 #[derive(Debug)]
 pub struct Balancer {
-    settings: Settings,
+    pub(crate) settings: Settings,
     rng: Rand64,
-    now: Millis,
+    pub(crate) now: Millis,
     requests: BTreeMap<RequestId, Held>,
-    upstreams: BTreeMap<UpstreamId, Upstream>,
-    seen: Learnt,
+    pub(crate) upstreams: BTreeMap<UpstreamId, Upstream>,
+    /// The serving servers of each zone, in the order that all sidecars share.
+    pub(crate) rings: BTreeMap<ZoneId, Vec<UpstreamId>>,
+    pub(crate) seen: Learnt,
 }
 
 impl Balancer {
@@ -100,6 +102,7 @@
             now: 0.0,
             requests: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            rings: BTreeMap::new(),
             seen,
         }
     }
@@ -132,6 +135,7 @@
             return out.push(Action::Refuse { request, retry_after: 0.0 });
         }
         self.seen.retry_tokens = (self.seen.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
+        self.count_arrival();
         for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
             *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
         }
@@ -216,9 +220,13 @@
         let service = self.seen.service[held.class.0].time;
         let means = Means::of(self.upstreams.values(), self.now - STALE);
         let usual_failures = self.usual_failures();
+        // What may go to few servers only may go to any of them.
+        let bound = held.tries.iter().any(|t| t.out || t.may_have_run);
+        let members = if bound { None } else { self.members() };
         let mut candidates = Vec::with_capacity(self.upstreams.len());
         for (&id, upstream) in &self.upstreams {
-            if !upstream.serving || !self.may_reach(held, upstream) {
+            let member = members.as_ref().is_none_or(|members| members.contains(&id));
+            if !member || !upstream.serving || !self.may_reach(held, upstream) {
                 continue;
             }
             let (in_flight, kappa) = (self.in_flight(upstream, &means), self.kappa(upstream));
@@ -557,6 +565,7 @@
             ListNews::Unavailable => out.push(Action::Log("server list unavailable".to_owned())),
         }
         self.upstreams.retain(|_, upstream| upstream.serving || !upstream.outstanding.is_empty());
+        self.arrange();
         if self.seen.kinds.len() > KINDS {
             self.seen.kinds.retain(|kind, _| self.upstreams.values().any(|upstream| upstream.kind == *kind));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod brain;
+mod reach;
 pub mod settings;
 mod state;
 
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use sagemast::api::*;
-use sagemast::settings::Config as SettingsObject;
+use sagemast::settings::{Config as SettingsObject, spot};
 
 use super::discovery::{Health, Host, HostList};
 use super::upstream::Pool;
@@ -103,6 +103,7 @@
             upstream: id,
             zone: ZoneId(settings.zone_named(&host.site)),
             cell: CellId(host.block),
+            spot: spot(host.host.as_bytes()),
             kind: KindId(settings.kind_named(&host.class)),
             lifecycle,
             weight: host.share,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -23,6 +23,8 @@
     kinds: Vec<String>,
     peers_total: u32,
     #[serde(default)]
+    rank: Option<u32>,
+    #[serde(default)]
     fees: HashMap<String, f64>,
     allowed: Allowed,
     invariants: Invariants,
@@ -135,6 +137,7 @@
             over_quota_worth: self.over_share_worth,
             zone: ZoneId(self.zone),
             sidecars: self.peers_total,
+            rank: self.rank,
             crossing_fee: self.fees.get("cross_zone").copied().unwrap_or(0.0),
             limits: Limits {
                 max_attempts: self.allowed.max_attempts,
@@ -302,6 +305,15 @@
     report
 }
 
+/// The place of a server in the order that all sidecars share, drawn from its name (FNV-1a).
+pub fn spot(name: &[u8]) -> u64 {
+    let hash = name.iter().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    // Names differ in their last bytes, which alone do not reach the upper bits.
+    (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 /// The place of a name in a list; for a stranger a number past the end, drawn from the name itself.
 fn number_of(names: &[String], name: &str) -> u64 {
     let stranger = || name.bytes().fold(1 << 32, |sum: u64, byte| sum.wrapping_mul(257) + u64::from(byte));
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,9 @@
     pub usual_density: Option<f64>,
     /// Each tenant's share of our arrivals.
     pub tenant_shares: Vec<f64>,
+    /// Arrivals a second, over the last few seconds, and when the last one was.
+    pub rate: f64,
+    pub arrived_at: Millis,
     /// When the first report came.
     pub first_at: Option<Millis>,
     /// The span over which the next call to discovery is spread, and whether one is to come.
@@ -142,6 +145,8 @@
             room_scale: 1.0,
             usual_density: None,
             tenant_shares: vec![0.0; tenants],
+            rate: 0.0,
+            arrived_at: f64::NEG_INFINITY,
             first_at: None,
             ask_wait: 0.0,
             ask_pending: false,
@@ -162,6 +167,7 @@
     pub zone: ZoneId,
     pub cell: CellId,
     pub kind: KindId,
+    pub spot: u64,
     pub serving: bool,
     pub weight: f64,
     pub started: Option<Millis>,
@@ -210,6 +216,7 @@
             zone: entry.zone,
             cell: entry.cell,
             kind: entry.kind,
+            spot: entry.spot,
             serving: entry.lifecycle == Lifecycle::Serving,
             weight: entry.weight,
             started: entry.started,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -31,6 +31,7 @@
         over_quota_worth: 1.0,
         zone: ZoneId(0),
         sidecars: 2,
+        rank: Some(0),
         crossing_fee: 0.0,
         limits: Limits {
             max_attempts: 4,
@@ -50,6 +51,7 @@
         upstream: UpstreamId(id),
         zone: ZoneId(0),
         cell: CellId(id / 10),
+        spot: id,
         kind: KindId(0),
         lifecycle: Lifecycle::Serving,
         weight: 1.0,
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,73 @@
+//! One sidecar among many: what is harmless alone must stay so when a hundred do it.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::*;
+use sagemast::api::*;
+
+const SERVERS: u64 = 60;
+
+/// Servers of three zones; neighbours by id are of different ones.
+fn servers(count: u64) -> Vec<Listing> {
+    let spot = |id: u64| id.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (1..=count).map(|id| Listing { zone: ZoneId(id % 3), spot: spot(id), ..listing(id) }).collect()
+}
+
+fn sidecar(rank: u32, sidecars: u32, count: u64) -> Stage {
+    let settings = Settings { sidecars, rank: Some(rank), ..settings() };
+    Stage::seeded(settings, servers(count), u64::from(rank))
+}
+
+/// The servers that a sidecar sends to when it gets a request every so often; those in `failing` only err.
+fn sent(stage: &mut Stage, requests: usize, gap: Millis, failing: &[u64]) -> BTreeMap<u64, usize> {
+    let mut sends = BTreeMap::new();
+    for _ in 0..requests {
+        stage.now += gap;
+        let (request, actions) = stage.arrive(ONCE);
+        let Some(to) = sent_to(&actions) else { continue };
+        *sends.entry(to.0).or_default() += 1;
+        let outcome = if failing.contains(&to.0) { Outcome::Error } else { Outcome::Ok };
+        stage.finish(request, 0, to, outcome, 20.0);
+    }
+    sends
+}
+
+/// A hundred sidecars that each drew over sixty servers had a connection for every other request, and heard of
+/// a server once in four seconds.
+#[test]
+fn one_of_many_keeps_to_a_part_of_the_servers_and_all_together_cover_them() {
+    let mut drawn_by: BTreeMap<u64, usize> = BTreeMap::new();
+    for rank in 0..100 {
+        let drawn = sent(&mut sidecar(rank, 100, SERVERS), 200, 70.0, &[]);
+        assert!((12..=20).contains(&drawn.len()), "sidecar {rank}: {drawn:?}");
+        drawn.keys().for_each(|id| *drawn_by.entry(*id).or_default() += 1);
+    }
+    assert_eq!(drawn_by.len() as u64, SERVERS, "every server is drawn by some");
+    let (least, most) = (drawn_by.values().min().unwrap(), drawn_by.values().max().unwrap());
+    assert!(*least >= 10 && *most <= 40, "evenly: {drawn_by:?}");
+}
+
+#[test]
+fn a_small_fleet_and_a_busy_sidecar_draw_over_all() {
+    assert_eq!(sent(&mut sidecar(1, 4, 14), 400, 70.0, &[]).len(), 14);
+    assert_eq!(sent(&mut sidecar(1, 100, SERVERS), 4_000, 10.0, &[]).len() as u64, SERVERS);
+    let mut untold = Stage::new(Settings { sidecars: 100, rank: None, ..settings() }, servers(SERVERS));
+    assert_eq!(sent(&mut untold, 2_000, 70.0, &[]).len() as u64, SERVERS, "its number is not known");
+}
+
+#[test]
+fn others_step_in_for_those_that_fail_or_leave() {
+    let mut stage = sidecar(7, 100, SERVERS);
+    let before: Vec<u64> = sent(&mut stage, 400, 70.0, &[]).into_keys().collect();
+    let failing = &before[..3];
+    sent(&mut stage, 200, 70.0, failing);
+    let healthy = |sends: &BTreeMap<u64, usize>| sends.keys().filter(|id| !failing.contains(id)).count();
+    let after = sent(&mut stage, 200, 70.0, failing);
+    assert!(healthy(&after) >= 12, "{before:?}, then {after:?}");
+    let leaving = |id: &u64| Listing { lifecycle: Lifecycle::Leaving, ..listing(*id) };
+    stage.event(Event::Listed(ListNews::Changed(before.iter().map(leaving).collect())));
+    let renewed: BTreeSet<u64> = sent(&mut stage, 400, 70.0, &[]).into_keys().collect();
+    assert!(renewed.len() >= 12 && before.iter().all(|id| !renewed.contains(id)), "{renewed:?}");
+}
