Keep probes within a budget that their price sets

Checked and excluded: that the probes' news is worth it.

At fault: `probe` in src/brain.rs, bounded by each server's last report only, whatever a probe costs. Now each request earns a part of a probe, 0.001 over the price in the settings; where probes are free or nothing else carries reports, they go out as before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -145,6 +145,10 @@
     pub rank: Option<u32>,
     /// What one zone crossing costs, as a fraction of a mean request's worth.
     pub crossing_fee: f64,
+    /// What one probe a request costs, likewise, over all sidecars together.
+    pub probe_fee: f64,
+    /// Whether answers carry load reports: else only probes do.
+    pub reports_in_answers: bool,
     /// Allowances.
     pub limits: Limits,
     /// Rule figures.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,6 +54,10 @@
 const RETRY_BURST: f64 = 10.0;
 /// A refused client is asked to stay away for up to this share of its aim.
 const RETRY_AFTER: f64 = 0.3;
+/// Probes, where answers carry reports as well, may cost this part of what is earned, and so many may be
+/// saved up. Who sends to a server hears of it; most of what a probe tells is old before it is used.
+const PROBE_COST: f64 = 0.001;
+const PROBE_BURST: f64 = 2.0;
 /// An attempt is given at least this multiple of its expected time before another is tried.
 const PATIENCE: f64 = 4.0;
 /// Time left to the aim when another attempt is tried, in service times.
@@ -135,6 +139,7 @@
             return out.push(Action::Refuse { request, retry_after: 0.0 });
         }
         self.seen.retry_tokens = (self.seen.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
+        self.seen.probe_tokens = (self.seen.probe_tokens + self.probe_share()).min(PROBE_BURST);
         self.count_arrival();
         for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
             *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
@@ -366,10 +371,21 @@
         Some([first, (first + step) % count].map(|at| open[at as usize]))
     }
 
+    /// Probes that may be sent for each request. Every sidecar pays for its own, and the fleet for all of them.
+    fn probe_share(&self) -> f64 {
+        if self.settings.reports_in_answers && self.settings.probe_fee > 0.0 {
+            PROBE_COST / self.settings.probe_fee
+        } else {
+            PROBE_BURST
+        }
+    }
+
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
         let waiting = upstream.probe_sent.is_some_and(|sent| self.now - sent < STALE);
-        if self.settings.limits.probes && !waiting && self.now - upstream.reported_at > STALE {
+        let wanted = !waiting && self.now - upstream.reported_at > STALE;
+        if self.settings.limits.probes && wanted && self.seen.probe_tokens >= 1.0 {
+            self.seen.probe_tokens -= 1.0;
             upstream.probe_sent = Some(self.now);
             out.push(Action::Probe(id));
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -139,6 +139,8 @@
             sidecars: self.peers_total,
             rank: self.rank,
             crossing_fee: self.fees.get("cross_zone").copied().unwrap_or(0.0),
+            probe_fee: self.fees.get("probe").copied().unwrap_or(0.0),
+            reports_in_answers: self.reports_in_answers(),
             limits: Limits {
                 max_attempts: self.allowed.max_attempts,
                 duplicates: self.allowed.may_duplicate,
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,6 +118,8 @@
     /// Share of the arrivals that no server had room for.
     pub refused: f64,
     pub retry_tokens: f64,
+    /// Probes that may be sent now.
+    pub probe_tokens: f64,
     /// Room shrinks to this share of the usual while answers are late.
     pub room_scale: f64,
     /// Worth per service time of the mean arrival.
@@ -142,6 +144,7 @@
             fleet: Kind::default(),
             refused: 0.0,
             retry_tokens,
+            probe_tokens: 0.0,
             room_scale: 1.0,
             usual_density: None,
             tenant_shares: vec![0.0; tenants],
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,6 +33,8 @@
         sidecars: 2,
         rank: Some(0),
         crossing_fee: 0.0,
+        probe_fee: 0.0,
+        reports_in_answers: true,
         limits: Limits {
             max_attempts: 4,
             duplicates: false,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -71,3 +71,26 @@
     let renewed: BTreeSet<u64> = sent(&mut stage, 400, 70.0, &[]).into_keys().collect();
     assert!(renewed.len() >= 12 && before.iter().all(|id| !renewed.contains(id)), "{renewed:?}");
 }
+
+/// A sidecar that seldom sends to one server found no report fresh and probed one server a request. Each of a
+/// hundred did: half of all connections were the probes', and the servers answered one probe in three.
+#[test]
+fn probes_stay_within_what_their_price_allows() {
+    let asked = |probe_fee: f64, reports_in_answers: bool| {
+        let settings = Settings { sidecars: 100, rank: Some(3), probe_fee, reports_in_answers, ..settings() };
+        let mut stage = Stage::new(settings, servers(SERVERS));
+        let mut probes = 0;
+        for _ in 0..500 {
+            stage.now += 70.0;
+            let (request, actions) = stage.arrive(ONCE);
+            probes += actions.iter().filter(|action| matches!(action, Action::Probe(_))).count();
+            let Some(to) = sent_to(&actions) else { continue };
+            stage.finish(request, 0, to, Outcome::Ok, 20.0);
+        }
+        probes
+    };
+    assert!((1..=10).contains(&asked(0.08, true)), "dear: {}", asked(0.08, true));
+    assert!((20..=55).contains(&asked(0.01, true)), "cheap: {}", asked(0.01, true));
+    assert!(asked(0.0, true) > 200, "free: {}", asked(0.0, true));
+    assert!(asked(0.08, false) > 200, "nothing else tells: {}", asked(0.08, false));
+}
