--- a/src/brain.rs
+++ b/src/brain.rs
@@ -371,7 +371,7 @@
         Some([first, (first + step) % count].map(|at| open[at as usize]))
     }
 
-    /// Probes that may be sent for each request. Every sidecar pays for its own, and the fleet for all of them.
+    /// Probes that may be sent for each request. Each sidecar pays for its own, the fleet for all of them.
     fn probe_share(&self) -> f64 {
         if self.settings.reports_in_answers && self.settings.probe_fee > 0.0 {
             PROBE_COST / self.settings.probe_fee
