Leave cold servers without allowance out of the draw instead of refusing by chance

Checked and excluded: room (the refusing sidecars' cold candidates were idle by their own reports); the list (new servers had been told at 8.1 to 8.8 s).

At fault: `admits` in src/brain.rs. It came after the draw, so a pair of two cold servers refused the request by chance though others had room; with most servers cold that is the usual pair. Its share was cut by the refusals as well, so each refusal caused more. Now each sidecar saves up sends to a cold server, at its share of a multiple of what the server can do, as told by what it is answered and by the utilisation reported with that; who has none left is not drawn. Initial savings are random, for all hear of a start at once.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,6 +9,7 @@
 use oorandom::Rand64;
 
 use crate::api::*;
+use crate::reach::{PROBE_BURST, RATE_OVER};
 use crate::state::*;
 
 /// A report older than this says nothing any more: the mean of the known servers stands in, and a probe goes
@@ -54,10 +55,6 @@
 const RETRY_BURST: f64 = 10.0;
 /// A refused client is asked to stay away for up to this share of its aim.
 const RETRY_AFTER: f64 = 0.3;
-/// Probes, where answers carry reports as well, may cost this part of what is earned, and so many may be
-/// saved up. Who sends to a server hears of it; most of what a probe tells is old before it is used.
-const PROBE_COST: f64 = 0.001;
-const PROBE_BURST: f64 = 2.0;
 /// An attempt is given at least this multiple of its expected time before another is tried.
 const PATIENCE: f64 = 4.0;
 /// Time left to the aim when another attempt is tried, in service times.
@@ -74,8 +71,6 @@
 const EJECT_SHARE: f64 = 0.4;
 /// First and longest time a server stays ejected before a trial.
 const EJECT_FOR: [Millis; 2] = [1_000.0, 8_000.0];
-/// The share of a cold server's allowance that is used: speeds and costs are estimates.
-const COLD_MARGIN: f64 = 0.5;
 /// From so many kinds of machine on, those that no server is of are forgotten.
 const KINDS: usize = 64;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
@@ -140,7 +135,7 @@
         }
         self.seen.retry_tokens = (self.seen.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
         self.seen.probe_tokens = (self.seen.probe_tokens + self.probe_share()).min(PROBE_BURST);
-        self.count_arrival();
+        self.seen.arrivals.count(self.now, RATE_OVER);
         for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
             *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
         }
@@ -154,27 +149,18 @@
     fn place(&mut self, request: RequestId, out: &mut Vec<Action>) {
         let Some(held) = self.requests.get(&request).cloned() else { return };
         let candidates = self.survey(&held);
-        let chosen = self.draw(&candidates, &held, out);
-        let refused = f64::from(u8::from(chosen.is_none()));
+        let (room, chosen) = self.draw(&candidates, &held, out);
+        let refused = f64::from(u8::from(!room));
         self.seen.refused += SMOOTH_ALL * (refused - self.seen.refused);
         let class = &mut self.seen.service[held.class.0];
         class.refused += SMOOTH_ALL * (refused - class.refused);
         let by_use = chosen.map(|[a, b]| if b.projected < a.projected { [b, a] } else { [a, b] });
-        match by_use.into_iter().flatten().find(|c| self.admits(c)) {
+        match by_use.and_then(|pair| pair.into_iter().next()) {
             Some(chosen) => self.send(request, chosen, candidates.len() > 1, out),
             None => self.give_up(request, out),
         }
     }
 
-    /// Whether a server may be sent one more while it is cold. An equal part of its budget is less than one
-    /// request for each of many sidecars, so chance decides: a server is drawn for at most two of `n`
-    /// requests, and chance leaves it of those what its budget allows, for all sidecars together.
-    fn admits(&mut self, to: &Candidate) -> bool {
-        let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0 * to.odds;
-        // Where there is no room elsewhere, more requests come than servers can carry, and more to this one.
-        to.warmth >= 1.0 || self.rng.rand_float() < share * (1.0 - self.seen.refused)
-    }
-
     /// The share of the time left to its aim that a request's wait may take. Under overload queues fill up
     /// to it, so work that earns less for its service time than the usual is the first to be refused.
     fn room(&self, held: &Held) -> f64 {
@@ -253,28 +239,14 @@
                 idle: in_flight + 1.0 <= (IDLE * kappa).max(2.5 - IDLE_CROWDED * self.seen.refused),
                 wait: service * slowness * depth,
                 warmth,
-                odds: 1.0,
+                allowance: f64::INFINITY,
             });
         }
-        candidates
-    }
-
-    /// Whether a further send may go to a server, by what may have run already.
-    fn may_reach(&self, held: &Held, upstream: &Upstream) -> bool {
-        let Some(first) = held.tries.iter().find(|t| t.out || t.may_have_run) else { return true };
-        match self.settings.classes[held.class.0].effect {
-            Effect::Repeatable => true,
-            Effect::Once => false,
-            // The window counts from the first send that may have run; a tick is kept in hand.
-            Effect::ByKey { scope, window } => {
-                let in_scope = match scope {
-                    Scope::All => true,
-                    Scope::Zone => upstream.zone == first.zone,
-                    Scope::Cell => upstream.cell == first.cell,
-                };
-                in_scope && self.now + self.settings.limits.tick < first.sent + window
-            }
+        if candidates.iter().any(|c| c.warmth < 1.0) {
+            let share = self.capacity_share(&candidates);
+            candidates.iter_mut().for_each(|c| c.allowance = self.allowance(c, share));
         }
+        candidates
     }
 
     /// κ: from the server's own reports, which fade into those of its kind: a small sidecar hears from one
@@ -336,7 +308,13 @@
     // --- The draw ----------------------------------------------------------------------------
 
     /// Two random servers among those with room, near ones first; the smaller projected utilisation wins.
-    fn draw(&mut self, all: &[Candidate], held: &Held, out: &mut Vec<Action>) -> Option<[Candidate; 2]> {
+    /// Whether any had room comes first: it may be that only cold ones did that must not be sent more.
+    fn draw(
+        &mut self,
+        all: &[Candidate],
+        held: &Held,
+        out: &mut Vec<Action>,
+    ) -> (bool, Option<[Candidate; 2]>) {
         let aim_left = self.aim_left(held);
         let room = self.room(held) * aim_left;
         let mut open: Vec<Candidate> = all.iter().filter(|c| c.healthy).copied().collect();
@@ -346,6 +324,8 @@
         }
         // An idle server always has room: else a service time learnt in a jam would lock everyone out.
         open.retain(|c| c.idle || c.wait <= room);
+        let room = !open.is_empty();
+        open.retain(|c| c.allowance >= 1.0);
         // With roughly exponential answer times one expected at `wait` misses its aim with probability
         // exp(-aim/wait): while that is below the fee, crossing does not pay.
         let fee = self.settings.crossing_fee;
@@ -354,13 +334,11 @@
         if open.iter().any(near) {
             open.retain(near);
         }
-        let odds = open.len() as f64 / all.len() as f64;
-        open.iter_mut().for_each(|c| c.odds = odds);
         let pair = self.pair(&open);
         // Where none has room a pair of all is asked: what is never drawn would look full for good.
         let asked = pair.or_else(|| self.pair(all));
         asked.into_iter().flatten().for_each(|drawn| self.probe(drawn.id, out));
-        pair
+        (room, pair)
     }
 
     /// A random pair of distinct members; the one there is, twice, where there is only one.
@@ -371,15 +349,6 @@
         Some([first, (first + step) % count].map(|at| open[at as usize]))
     }
 
-    /// Probes that may be sent for each request. Each sidecar pays for its own, the fleet for all of them.
-    fn probe_share(&self) -> f64 {
-        if self.settings.reports_in_answers && self.settings.probe_fee > 0.0 {
-            PROBE_COST / self.settings.probe_fee
-        } else {
-            PROBE_BURST
-        }
-    }
-
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
         let waiting = upstream.probe_sent.is_some_and(|sent| self.now - sent < STALE);
@@ -398,6 +367,9 @@
         let sent = self.now;
         let Some(upstream) = self.upstreams.get_mut(&to.id) else { return };
         upstream.outstanding.push(Outstanding { request, attempt, class, sent, to });
+        if to.warmth < 1.0 {
+            (upstream.allowance, upstream.allowed_at) = (to.allowance - 1.0, sent);
+        }
         let this = Try::new(to.id, upstream, sent);
         if let Some(held) = self.requests.get_mut(&request) {
             held.tries.push(this);
@@ -458,6 +430,9 @@
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
         let Some(sent) = upstream.take(end.request, end.attempt) else { return };
         let silent = upstream.answered_at <= sent.sent;
+        if outcome == Outcome::Ok {
+            self.seen.served.count(self.now, RATE_OVER);
+        }
         if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             self.learn(id, sent, latency, outcome == Outcome::Ok);
         }
@@ -518,6 +493,7 @@
         upstream.others += others_weight.max(least) * (others - upstream.others);
         upstream.reported_at = self.now;
         upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
+        upstream.utilisation = report.utilisation.unwrap_or(1.0).clamp(0.0, 1.0);
         let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
         // Servers that start with us begin their mean at 0: early ratios would call them huge.
         if self.now < *self.seen.first_at.get_or_insert(self.now) + 2.0 * MEANS_OVER {
@@ -596,6 +572,11 @@
     }
 
     fn update(&mut self, entry: &Listing) {
-        self.upstreams.entry(entry.upstream).or_insert_with(|| Upstream::new(entry)).relist(entry);
+        let upstream = self.upstreams.entry(entry.upstream).or_insert_with(|| Upstream::new(entry));
+        upstream.relist(entry);
+        if upstream.started.is_some() && upstream.allowed_at == f64::NEG_INFINITY {
+            // Many sidecars hear of a start at once: their first sends to it must not fall together.
+            (upstream.allowance, upstream.allowed_at) = (self.rng.rand_float(), self.now);
+        }
     }
 }
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -1,4 +1,5 @@
-//! Which servers one sidecar of many draws from. Part of the decision module of `src/brain.rs`.
+//! What one sidecar of many may do: which servers it draws from, what a cold one may be sent, how often it may
+//! probe. Part of the decision module of `src/brain.rs`.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -14,7 +15,17 @@
 /// them lasts about as long, and few have more at one server than their share.
 const HEARD_EACH: Millis = 1_000.0;
 /// The rate of arrivals is averaged over this time: a burst must not open connections to everyone.
-const RATE_OVER: Millis = 5_000.0;
+pub(crate) const RATE_OVER: Millis = 5_000.0;
+/// Below this load in their reports, what servers could do cannot be told from what they do.
+const LOAD_FLOOR: f64 = 0.2;
+/// The share of a cold server's allowance that is used: speeds and costs are estimates.
+const COLD_MARGIN: f64 = 0.5;
+/// So many sends to a cold server may be saved up: many sidecars may spend theirs at once.
+const COLD_BURST: f64 = 2.0;
+/// Probes, where answers carry reports as well, may cost this part of what is earned, and so many may be
+/// saved up. Who sends to a server hears of it; most of what a probe tells is old before it is used.
+const PROBE_COST: f64 = 0.001;
+pub(crate) const PROBE_BURST: f64 = 2.0;
 /// Starting points that are multiples of the golden section lie evenly, however many of them there are.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
 
@@ -27,7 +38,9 @@
         let rank = f64::from(self.settings.rank?);
         let serving = self.upstreams.values().filter(|upstream| upstream.serving).count() as f64;
         let covered = COVERED_BY * serving / f64::from(self.settings.sidecars.max(1));
-        let share = (self.seen.rate * HEARD_EACH / 1_000.0).max(covered).max(FEWEST) / serving;
+        let share =
+            (self.seen.arrivals.at(self.now, RATE_OVER) * HEARD_EACH / 1_000.0).max(covered).max(FEWEST)
+                / serving;
         if share >= 1.0 {
             return None;
         }
@@ -48,6 +61,24 @@
         Some(members)
     }
 
+    /// Whether a further send may go to a server, by what may have run already.
+    pub(crate) fn may_reach(&self, held: &Held, upstream: &Upstream) -> bool {
+        let Some(first) = held.tries.iter().find(|t| t.out || t.may_have_run) else { return true };
+        match self.settings.classes[held.class.0].effect {
+            Effect::Repeatable => true,
+            Effect::Once => false,
+            // The window counts from the first send that may have run; a tick is kept in hand.
+            Effect::ByKey { scope, window } => {
+                let in_scope = match scope {
+                    Scope::All => true,
+                    Scope::Zone => upstream.zone == first.zone,
+                    Scope::Cell => upstream.cell == first.cell,
+                };
+                in_scope && self.now + self.settings.limits.tick < first.sent + window
+            }
+        }
+    }
+
     /// Puts the serving servers of every zone in the order that all sidecars share.
     pub(crate) fn arrange(&mut self) {
         let mut rings: BTreeMap<ZoneId, Vec<UpstreamId>> = BTreeMap::new();
@@ -60,10 +91,41 @@
         self.rings = rings;
     }
 
-    /// Counts an arrival in the rate.
-    pub(crate) fn count_arrival(&mut self) {
-        let passed = (-(self.now - self.seen.arrived_at) / RATE_OVER).exp();
-        self.seen.rate = self.seen.rate * passed + 1_000.0 / RATE_OVER;
-        self.seen.arrived_at = self.now;
+    /// The share of a warm server's capacity that falls to this sidecar, in requests a second: what it is
+    /// answered by a server is its part of what they do, and their reports tell which part that is of all they
+    /// could. Without any, and before them, they are taken to do all they can.
+    pub(crate) fn capacity_share(&self, candidates: &[Candidate]) -> f64 {
+        let heard: Vec<f64> = candidates
+            .iter()
+            .filter_map(|candidate| self.upstreams.get(&candidate.id))
+            .filter(|upstream| self.now - upstream.reported_at <= RATE_OVER)
+            .map(|upstream| upstream.utilisation * upstream.warmth(self.now, &self.settings.safety))
+            .collect();
+        let count = candidates.len().max(1) as f64;
+        if heard.is_empty() {
+            return self.seen.arrivals.at(self.now, RATE_OVER) * (1.0 - self.seen.refused) / count;
+        }
+        let load = (heard.iter().sum::<f64>() / heard.len() as f64).max(LOAD_FLOOR);
+        self.seen.served.at(self.now, RATE_OVER) / load / count
+    }
+
+    /// Sends that a server may be given now. While it is cold all sidecars together must stay within a multiple of
+    /// what it can do: each saves up its share, and those without any left look elsewhere.
+    pub(crate) fn allowance(&self, to: &Candidate, capacity_share: f64) -> f64 {
+        let Some(upstream) = self.upstreams.get(&to.id).filter(|_| to.warmth < 1.0) else {
+            return f64::INFINITY;
+        };
+        let per_s = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth * capacity_share;
+        let saved = per_s * (self.now - upstream.allowed_at).max(0.0) / 1_000.0;
+        (upstream.allowance + saved).min(COLD_BURST)
+    }
+
+    /// Probes that may be sent for each request. Each sidecar pays for its own, the fleet for all of them.
+    pub(crate) fn probe_share(&self) -> f64 {
+        if self.settings.reports_in_answers && self.settings.probe_fee > 0.0 {
+            PROBE_COST / self.settings.probe_fee
+        } else {
+            PROBE_BURST
+        }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,6 +107,26 @@
     }
 }
 
+/// How often something happened over the last few seconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Rate {
+    per_s: f64,
+    at: Millis,
+}
+
+impl Rate {
+    /// It has happened once more.
+    pub fn count(&mut self, now: Millis, over: Millis) {
+        self.per_s = self.at(now, over) + 1_000.0 / over;
+        self.at = now;
+    }
+
+    /// Times a second, as of now.
+    pub fn at(&self, now: Millis, over: Millis) -> f64 {
+        self.per_s * (-(now - self.at) / over).exp()
+    }
+}
+
 /// What one sidecar has learnt of its surroundings as a whole.
 #[derive(Debug)]
 pub(crate) struct Learnt {
@@ -126,9 +146,9 @@
     pub usual_density: Option<f64>,
     /// Each tenant's share of our arrivals.
     pub tenant_shares: Vec<f64>,
-    /// Arrivals a second, over the last few seconds, and when the last one was.
-    pub rate: f64,
-    pub arrived_at: Millis,
+    /// Arrivals and good answers, a second.
+    pub arrivals: Rate,
+    pub served: Rate,
     /// When the first report came.
     pub first_at: Option<Millis>,
     /// The span over which the next call to discovery is spread, and whether one is to come.
@@ -148,8 +168,8 @@
             room_scale: 1.0,
             usual_density: None,
             tenant_shares: vec![0.0; tenants],
-            rate: 0.0,
-            arrived_at: f64::NEG_INFINITY,
+            arrivals: Rate::default(),
+            served: Rate::default(),
             first_at: None,
             ask_wait: 0.0,
             ask_pending: false,
@@ -177,6 +197,8 @@
     pub kappa: Option<f64>,
     /// Running mean of the reports.
     pub mean_in_flight: f64,
+    /// The last report's.
+    pub utilisation: f64,
     /// Running mean of what its reports hold beyond our own sends.
     pub others: f64,
     pub reported_at: Millis,
@@ -189,6 +211,9 @@
     pub failure_rate: f64,
     pub judged_at: Millis,
     pub health: Health,
+    /// What was left of a cold one's allowance, and when.
+    pub allowance: f64,
+    pub allowed_at: Millis,
 }
 
 /// A server as one request sees it.
@@ -198,8 +223,8 @@
     pub near: bool,
     pub healthy: bool,
     pub warmth: f64,
-    /// The share of all candidates that its pair was drawn from.
-    pub odds: f64,
+    /// Sends that a cold one may be given now; a warm one any number.
+    pub allowance: f64,
     pub projected: f64,
     /// How many times its own service time an answer is expected to take, for the queue before it.
     pub depth: f64,
@@ -225,6 +250,7 @@
             started: entry.started,
             kappa: None,
             mean_in_flight: 0.0,
+            utilisation: 0.0,
             others: 0.0,
             reported_at: f64::NEG_INFINITY,
             probe_sent: None,
@@ -235,6 +261,8 @@
             failure_rate: 0.0,
             judged_at: f64::NEG_INFINITY,
             health: Health::Ready,
+            allowance: 0.0,
+            allowed_at: f64::NEG_INFINITY,
         }
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -94,3 +94,22 @@
     assert!(asked(0.0, true) > 200, "free: {}", asked(0.0, true));
     assert!(asked(0.08, false) > 200, "nothing else tells: {}", asked(0.08, false));
 }
+
+/// While most servers are cold a random pair often holds none that may be sent more. The request then goes to one
+/// of the others: refused by chance, clients came back at once, more was refused, and less was let through still.
+#[test]
+fn cold_servers_do_not_get_requests_refused_that_others_have_room_for() {
+    let settings = Settings { probe_fee: 0.08, ..settings() };
+    let cold = |entry: Listing| Listing { started: (entry.upstream.0 > 4).then_some(1_000.0), ..entry };
+    let mut stage = Stage::new(settings, servers(16).into_iter().map(cold).collect());
+    let (mut to_cold, mut sends) = (0, 0);
+    for _ in 0..600 {
+        stage.now += 10.0;
+        let (request, actions) = stage.arrive(ONCE);
+        let to = sent_to(&actions).expect("four servers are idle and warm");
+        sends += 1;
+        to_cold += usize::from(to.0 > 4);
+        stage.finish(request, 0, to, Outcome::Ok, 20.0);
+    }
+    assert!(to_cold > sends / 20, "they get work as well: {to_cold} of {sends}");
+}
