Bring room back as time passes instead of answer by answer

At fault: `finished` in src/brain.rs. A full server takes a step of 0.15, a good answer gave back 0.02 of the target: from the least room to all of it takes 460 good answers, 8 s at the 60 a second of a small fleet's sidecar and 38 s at the 12 of one among a hundred. Now an answer weighs as much as the time that it tells of.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,8 @@
 const ROOM: f64 = 0.6;
 /// Room shrinks while more of what was accepted is late than this: crowded servers slow down unforeseen.
 const LATE_TARGET: f64 = 0.15;
+/// Whether answers are late is averaged over this time, as it is with fifty to sixty of them a second.
+const ROOM_OVER: Millis = 800.0;
 /// How strongly room depends on what a request earns; 0 is not at all.
 const FAVOUR: f64 = 0.4;
 /// How strongly room makes up for a class that is refused more than the whole.
@@ -398,8 +400,12 @@
         // A jam once fed itself: answers that servers were full came soon, and made room as if in time.
         let full = outcome == Outcome::Full;
         let late = full || self.now > held.arrived + self.settings.classes[held.class.0].aim;
-        let step = if full { SMOOTH } else { SMOOTH_ALL } * (LATE_TARGET - f64::from(u8::from(late)));
+        // An answer tells of the time since the one before: who gets few would find room again later.
+        let told = 1.0 - (-(self.now - self.seen.ended_at) / ROOM_OVER).exp();
+        let weight = if full { SMOOTH } else { told.clamp(SMOOTH_ALL, SMOOTH) };
+        let step = weight * (LATE_TARGET - f64::from(u8::from(late)));
         self.seen.room_scale = (self.seen.room_scale * (1.0 + step)).clamp(0.25, 1.0);
+        self.seen.ended_at = self.now;
         this.may_have_run = outcome.may_have_run();
         if end.closed || outcome == Outcome::Ok {
             return self.abandoned(request, out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -142,6 +142,8 @@
     pub probe_tokens: f64,
     /// Room shrinks to this share of the usual while answers are late.
     pub room_scale: f64,
+    /// When the last attempt ended.
+    pub ended_at: Millis,
     /// Worth per service time of the mean arrival.
     pub usual_density: Option<f64>,
     /// Each tenant's share of our arrivals.
@@ -166,6 +168,7 @@
             retry_tokens,
             probe_tokens: 0.0,
             room_scale: 1.0,
+            ended_at: f64::NEG_INFINITY,
             usual_density: None,
             tenant_shares: vec![0.0; tenants],
             arrivals: Rate::default(),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -113,3 +113,36 @@
     }
     assert!(to_cold > sends / 20, "they get work as well: {to_cold} of {sends}");
 }
+
+/// Room shrank with every server that was full and came back with every good answer: one sidecar of a hundred gets so
+/// few that it refused on idle servers for half a minute after a release.
+#[test]
+fn room_comes_back_as_time_passes_however_few_the_answers() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    stage.settle(&[1, 2], 6.0, 0.75);
+    // Two requests for each that can be in work: an answer takes twice the service time, well within the aim.
+    let crowded = |stage: &mut Stage| stage.settle(&[1, 2], 15.0, 1.0);
+    crowded(&mut stage);
+    let (_, actions) = stage.arrive(ONCE);
+    assert!(sent_to(&actions).is_some(), "there is room for that");
+    for _ in 0..20 {
+        let (request, actions) = stage.arrive(ONCE);
+        let (mut next, mut attempt) = (sent_to(&actions), 0);
+        while let Some(to) = next {
+            next = sent_to(&stage.finish(request, attempt, to, Outcome::Full, 1.0));
+            attempt += 1;
+        }
+    }
+    crowded(&mut stage);
+    assert!(refused(&stage.arrive(ONCE).1), "servers were full");
+    for _ in 0..80 {
+        [1, 2].into_iter().for_each(|id| stage.report(id, 2.0, 0.25));
+        let (request, actions) = stage.arrive(ONCE);
+        stage.now += 100.0;
+        if let Some(to) = sent_to(&actions) {
+            stage.finish(request, 0, to, Outcome::Ok, 30.0);
+        }
+    }
+    crowded(&mut stage);
+    assert!(sent_to(&stage.arrive(ONCE).1).is_some(), "eight seconds of good answers");
+}
