Use cost hints, so that no attempt is cut off for being large by itself

At fault: `timeout`, `learn` and the ageing of unanswered sends in src/brain.rs, which took every request of a class for the same work; the hint was not read. Now a request's size is its hint over its class's running median.

--- a/src/api.rs
+++ b/src/api.rs
@@ -273,6 +273,8 @@
         tenant: TenantId,
         /// How long the client waits.
         time_left: Millis,
+        /// Its expected work, where its client says so: only compared with that of others of its class.
+        cost: Option<f64>,
     },
     /// An attempt ended; each [`Action::Send`] gets this once.
     Finished(Finished),
--- a/src/bin/sagemast-simhost/main.rs
+++ b/src/bin/sagemast-simhost/main.rs
@@ -99,11 +99,13 @@
                 SyncMode::Unavailable => ListNews::Unavailable,
             })
         }
-        WireEvent::Arrival { xid, owner, time_left, category } => Event::Arrived {
+        WireEvent::Arrival { xid, owner, time_left, category, state_bits, cost_guess } => Event::Arrived {
             request: RequestId(xid.0),
             class: ClassId(category),
             tenant: TenantId(owner),
             time_left,
+            // Bit 1: the hint is valid.
+            cost: cost_guess.filter(|_| state_bits & 1 != 0),
         },
         WireEvent::Pong { upstream, disposition, server_stats } => Event::Probed {
             upstream: UpstreamId(upstream),
--- a/src/bin/sagemast-simhost/wire.rs
+++ b/src/bin/sagemast-simhost/wire.rs
@@ -38,6 +38,9 @@
         owner: usize,
         time_left: f64,
         category: usize,
+        #[serde(default)]
+        state_bits: u64,
+        cost_guess: Option<f64>,
     },
     Killed,
     Pong {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -112,8 +112,9 @@
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
         match event {
-            Event::Arrived { request, class, tenant, time_left } => {
-                self.arrived(request, Held::new(class, tenant, self.now, time_left.max(0.0)), out)
+            Event::Arrived { request, class, tenant, time_left, cost } => {
+                let held = Held { cost, ..Held::new(class, tenant, self.now, time_left.max(0.0)) };
+                self.arrived(request, held, out)
             }
             Event::Finished(end) => {
                 self.settle(end, out);
@@ -128,13 +129,14 @@
         }
     }
 
-    fn arrived(&mut self, request: RequestId, held: Held, out: &mut Vec<Action>) {
+    fn arrived(&mut self, request: RequestId, mut held: Held, out: &mut Vec<Action>) {
         if self.requests.contains_key(&request) {
             return;
         }
         if held.class.0 >= self.settings.classes.len() {
             return out.push(Action::Refuse { request, retry_after: 0.0 });
         }
+        held.size = self.seen.service[held.class.0].size(held.cost);
         self.seen.retry_tokens = (self.seen.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
         self.seen.probe_tokens = (self.seen.probe_tokens + self.probe_share()).min(PROBE_BURST);
         self.seen.arrivals.count(self.now, RATE_OVER);
@@ -240,6 +242,8 @@
                 // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
                 idle: in_flight + 1.0 <= (IDLE * kappa).max(2.5 - IDLE_CROWDED * self.seen.refused),
                 wait: service * slowness * depth,
+                // Behind a queue of others, which are as large as usual, this one takes what it is itself.
+                own: depth - 1.0 + held.size,
                 warmth,
                 allowance: f64::INFINITY,
             });
@@ -274,7 +278,7 @@
         // A server that hangs gives no answers to learn from: the time since its last one tells.
         let ageing = upstream.outstanding.first().map_or(0.0, |oldest| {
             AGEING * (self.now - oldest.sent.max(upstream.answered_at))
-                / (oldest.to.depth * self.seen.service[oldest.class.0].time)
+                / (oldest.to.own * self.seen.service[oldest.class.0].time)
         });
         learnt.max(ageing).max(0.05)
     }
@@ -387,8 +391,10 @@
         if last || !others || class.effect == Effect::Once || self.seen.retry_tokens < 1.0 {
             return left;
         }
-        let spare = held.arrived + class.aim - self.now - RETRY_ROOM * self.seen.service[held.class.0].time;
-        spare.max(PATIENCE * to.wait).min(left)
+        // Another attempt is as much work as this one: what is large for its class needs the time once.
+        let again = RETRY_ROOM * held.size * self.seen.service[held.class.0].time;
+        let spare = held.arrived + class.aim - self.now - again;
+        spare.max(PATIENCE * to.expected()).min(left)
     }
 
     /// Goes on with the request after an attempt has ended.
@@ -449,7 +455,7 @@
             Outcome::Ok => false,
             Outcome::Error | Outcome::Unreachable | Outcome::Reset => true,
             // Under overload good servers time out too; one that answered nothing in all that time hangs.
-            Outcome::TimedOut if silent && latency >= PATIENCE * sent.to.wait => true,
+            Outcome::TimedOut if silent && latency >= PATIENCE * sent.to.expected() => true,
             _ => return,
         };
         self.judge(id, sent.sent, failed, out);
@@ -462,7 +468,7 @@
         let Some(server) = self.upstreams.get(&id).filter(|_| latency > 0.0) else { return };
         let (known, warmth) = (self.remembered(server), server.warmth(self.now, &self.settings.safety));
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        let alone = latency * warmth / sent.to.depth;
+        let alone = latency * warmth / sent.to.own;
         let service = &mut self.seen.service[sent.class.0];
         let pace = alone / service.time;
         let (seen, weight) = if answered { (pace, SMOOTH) } else { (known.max(AGEING * pace), LATE_SMOOTH) };
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -108,6 +108,8 @@
     pub at: Instant,
     /// How long its client waits from then on.
     pub time_left: Duration,
+    /// Its expected work in microseconds, where the client says so.
+    pub cost: Option<f64>,
     /// What goes on to upstreams.
     pub forward: Forward,
     /// Where its final answer goes.
@@ -322,7 +324,7 @@
             (true, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no list of upstreams yet"),
         };
     }
-    let Checked { class, tenant, time_left, id } = match check(&request, &front.names) {
+    let Checked { class, tenant, time_left, cost, id } = match check(&request, &front.names) {
         Ok(checked) => checked,
         Err((status, reason)) => return plain(status, reason),
     };
@@ -342,7 +344,7 @@
     let request = RequestId(front.next_id.fetch_add(1, Ordering::Relaxed));
     let (reply, answer) = oneshot::channel();
     let forward = Forward { method: head.method, target, headers: end_to_end(&head.headers), body };
-    let arrival = Arrival { request, class, tenant, id, at, time_left, forward, reply };
+    let arrival = Arrival { request, class, tenant, id, at, time_left, cost, forward, reply };
     let mut guard = Guard { request, front, answered: false };
     let _ = front.happenings.send(Happening::Arrived(Box::new(arrival)));
     let answer = answer.await;
@@ -371,6 +373,7 @@
     class: ClassId,
     tenant: TenantId,
     time_left: Duration,
+    cost: Option<f64>,
     id: Box<str>,
 }
 
@@ -429,7 +432,9 @@
         None => return Err(bad("X-Tenant-Id is missing")),
         Some(name) => names.tenants.iter().position(|n| n == name).ok_or(bad("unknown tenant"))?,
     };
-    Ok(Checked { class: ClassId(class), tenant: TenantId(tenant), time_left, id })
+    // No more than a hint: one that cannot be read is none.
+    let cost = headers.get("x-cost").and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    Ok(Checked { class: ClassId(class), tenant: TenantId(tenant), time_left, cost, id })
 }
 
 /// A whole number in decimal digits and nothing else; `parse` alone would take a sign.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -319,7 +319,7 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { request, class, tenant, id, at, time_left, forward, reply } = arrival;
+        let Arrival { request, class, tenant, id, at, time_left, cost, forward, reply } = arrival;
         // Upstreams know a request by its id. One that says it is another's would be taken for that one's
         // next attempt.
         if !self.ids.insert(id.clone()) {
@@ -331,7 +331,7 @@
         let open = Open { id, forward: Arc::new(forward), reply, sends: 0, deadline, timer };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
-        self.event(Event::Arrived { request, class, tenant, time_left });
+        self.event(Event::Arrived { request, class, tenant, time_left, cost });
     }
 
     /// Tells the module that a request is over without it, and ends what is out for it.
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,13 +29,16 @@
     pub tenant: TenantId,
     pub arrived: Millis,
     pub deadline: Millis,
+    /// Its expected work, and that over its class's usual.
+    pub cost: Option<f64>,
+    pub size: f64,
     pub tries: Vec<Try>,
 }
 
 impl Held {
     pub fn new(class: ClassId, tenant: TenantId, arrived: Millis, time_left: Millis) -> Held {
         let deadline = arrived + time_left;
-        Held { class, tenant, arrived, deadline, tries: Vec::new() }
+        Held { class, tenant, arrived, deadline, cost: None, size: 1.0, tries: Vec::new() }
     }
 }
 
@@ -50,6 +53,11 @@
     pub to: Candidate,
 }
 
+/// Step of the running median of costs, as a share of it: a hundred requests move it by as much as it spreads.
+const COST_STEP: f64 = 0.01;
+/// A hint may be wrong: nothing counts as more times larger or smaller than the usual.
+const MOST_LARGER: f64 = 10.0;
+
 /// What is known of one class, times from answers that met no queue.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Service {
@@ -58,11 +66,29 @@
     pub samples: f64,
     /// Share of its arrivals that was refused.
     pub refused: f64,
+    /// Running median of what clients say of the work, and how often they did.
+    cost: f64,
+    costs: f64,
 }
 
 impl Service {
     pub fn new(time: Millis) -> Service {
-        Service { time, samples: 0.0, refused: 0.0 }
+        Service { time, samples: 0.0, refused: 0.0, cost: 0.0, costs: 0.0 }
+    }
+
+    /// How large a request is for this class, by what its client says; learns from it what is usual.
+    pub fn size(&mut self, cost: Option<f64>) -> f64 {
+        let Some(cost) = cost.filter(|cost| cost.is_finite() && *cost > 0.0) else { return 1.0 };
+        self.costs += 1.0;
+        let step = self.cost * (0.5 / self.costs).max(COST_STEP);
+        if self.costs == 1.0 {
+            self.cost = cost;
+        } else if cost > self.cost {
+            self.cost += step;
+        } else if cost < self.cost {
+            self.cost -= step;
+        }
+        (cost / self.cost).clamp(1.0 / MOST_LARGER, MOST_LARGER)
     }
 
     /// Steps the median towards a sample, at first in larger steps.
@@ -232,7 +258,17 @@
     /// How many times its own service time an answer is expected to take, for the queue before it.
     pub depth: f64,
     pub idle: bool,
+    /// What its wait would be for a request as large as usual.
     pub wait: Millis,
+    /// How many usual service times this request is expected to take, with the queue before it.
+    pub own: f64,
+}
+
+impl Candidate {
+    /// Until the answer to this request.
+    pub fn expected(&self) -> Millis {
+        self.wait / self.depth * self.own
+    }
 }
 
 /// Means over the known servers, which stand in for what is not known of others.
--- a/tests/any_order.rs
+++ b/tests/any_order.rs
@@ -137,7 +137,13 @@
                 let request = RequestId(number);
                 let seen = Seen { class, deadline: now + time_left, tries: Vec::new(), ended: false };
                 self.requests.insert(request, seen);
-                Event::Arrived { request, class: ClassId(class), tenant: TenantId(self.pick(3)), time_left }
+                Event::Arrived {
+                    request,
+                    class: ClassId(class),
+                    tenant: TenantId(self.pick(3)),
+                    time_left,
+                    cost: [None, Some(0.0), Some(1e300), Some(30.0)][self.pick(4)],
+                }
             }
             4..=6 if !out.is_empty() => {
                 let (request, at) = out[self.pick(out.len())];
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -97,7 +97,7 @@
     pub fn arrive(&mut self, class: ClassId) -> (RequestId, Vec<Action>) {
         self.next += 1;
         let request = RequestId(self.next);
-        let event = Event::Arrived { request, class, tenant: TenantId(0), time_left: 500.0 };
+        let event = Event::Arrived { request, class, tenant: TenantId(0), time_left: 500.0, cost: None };
         (request, self.event(event))
     }
 
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -196,7 +196,7 @@
         let (class, tenant) = ([REPEATABLE, BY_ALL][(number / 16 % 2) as usize], u64::from(number % 5 == 0));
         let request = RequestId(number);
         let tenant = TenantId(tenant as usize);
-        let actions = stage.event(Event::Arrived { request, class, tenant, time_left: 500.0 });
+        let actions = stage.event(Event::Arrived { request, class, tenant, time_left: 500.0, cost: None });
         let count: &mut (u32, u32) = refusals.entry((class, tenant)).or_default();
         count.1 += 1;
         count.0 += u32::from(refused(&actions));
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -133,6 +133,7 @@
                 class: ClassId(id as usize % 5),
                 tenant: TenantId(0),
                 time_left: 400.0,
+                cost: None,
             };
             balancer.handle(id as f64 * 7.0, event, &mut all);
         }
@@ -330,8 +331,35 @@
         let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
         stage.settle(&[1, 2], in_flight, in_flight / 1.4 * 0.8);
         let (request, tenant) = (RequestId(9), TenantId(0));
-        stage.event(Event::Arrived { request, class: REPEATABLE, tenant, time_left: 40.0 })
+        stage.event(Event::Arrived { request, class: REPEATABLE, tenant, time_left: 40.0, cost: None })
     };
     assert!(sent_to(&place(1.0)).is_some());
     assert!(refused(&place(3.0)), "behind a queue it would be late");
 }
+
+/// Guards against cutting off what is large by itself: another attempt would be as much work, and the hint tells. Three
+/// in four of the largest lookups were timed out and sent again, to be timed out again.
+#[test]
+fn what_is_large_by_its_hint_gets_the_time_it_takes() {
+    let mut stage = Stage::new(settings(), (1..=4).map(listing).collect());
+    stage.settle(&[1, 2, 3, 4], 1.0, 0.25);
+    let mut timeout = |id: u64, cost: f64| {
+        let request = RequestId(10_000 + id);
+        let tenant = TenantId(0);
+        let event = Event::Arrived { request, class: REPEATABLE, tenant, time_left: 500.0, cost: Some(cost) };
+        let actions = stage.event(event);
+        let sent = actions.iter().find_map(|action| match action {
+            Action::Send { upstream, timeout, .. } => Some((*upstream, *timeout)),
+            _ => None,
+        });
+        let (to, timeout) = sent.expect("the servers are idle");
+        stage.now += 30.0;
+        stage.finish(request, 0, to, Outcome::Ok, 30.0);
+        timeout
+    };
+    for id in 0..100 {
+        assert!(timeout(id, 50_000.0) < 200.0, "as large as usual: another attempt can make the aim");
+    }
+    assert!(timeout(100, 400_000.0) >= 500.0, "eight times as large: it takes the time once");
+    assert!(timeout(101, 50_000.0) < 200.0, "one of them does not make it usual");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -123,7 +123,7 @@
 }
 
 fn arrival(id: u64, class: ClassId, time_left: Millis) -> Event {
-    Event::Arrived { request: RequestId(id), class, tenant: TenantId(0), time_left }
+    Event::Arrived { request: RequestId(id), class, tenant: TenantId(0), time_left, cost: None }
 }
 
 #[test]
