Count answers that a server is full against it in the pick

At fault: `settle` in src/brain.rs, which learnt nothing from such an answer. It now counts in the server's failure rate, held against its peers' as before: where all are full, none stands out. It ejects none: not accepted is no failure.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -453,12 +453,14 @@
         }
         let failed = match outcome {
             Outcome::Ok => false,
-            Outcome::Error | Outcome::Unreachable | Outcome::Reset => true,
+            // Not accepted is no failure, but one that turns away much more than its peers drains, whatever
+            // the list says yet: it looks idle and would be sent more.
+            Outcome::Error | Outcome::Unreachable | Outcome::Reset | Outcome::Full => true,
             // Under overload good servers time out too; one that answered nothing in all that time hangs.
             Outcome::TimedOut if silent && latency >= PATIENCE * sent.to.expected() => true,
             _ => return,
         };
-        self.judge(id, sent.sent, failed, out);
+        self.judge(id, sent.sent, failed, outcome != Outcome::Full, out);
     }
 
     /// An answer tells the class's service time and this server's pace, with the queue taken out; a time-out
@@ -524,8 +526,8 @@
     }
 
     /// Counts an outcome for or against a server: outlier ejection with half-open trials. A send from before
-    /// the ejection is no trial.
-    fn judge(&mut self, id: UpstreamId, sent: Millis, failed: bool, out: &mut Vec<Action>) {
+    /// the ejection is no trial. What does not eject counts in the pick alone.
+    fn judge(&mut self, id: UpstreamId, sent: Millis, failed: bool, ejects: bool, out: &mut Vec<Action>) {
         let serving: Vec<&Upstream> = self.upstreams.values().filter(|u| u.serving).collect();
         let count = serving.len() as f64;
         let bar = EJECT_ABOVE + self.usual_failures();
@@ -538,7 +540,7 @@
         upstream.judged_at = now;
         let eject = |wait: Millis| Health::Ejected { until: now + wait * spread, wait };
         match upstream.health {
-            Health::Ready if failed && may_eject && upstream.failure_rate > bar => {
+            Health::Ready if failed && ejects && may_eject && upstream.failure_rate > bar => {
                 upstream.health = eject(EJECT_FOR[0]);
                 out.push(Action::Log(format!("server {} ejected for failures", id.0)));
             }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -488,3 +488,27 @@
     let (usual, jammed) = (accepted_after(Outcome::Ok), accepted_after(Outcome::Full));
     assert!(usual >= 15 && jammed * 2 < usual, "{jammed} after full, {usual} after served");
 }
+
+/// Guards against a server that drains before the list says so: it turns all away and reports that it is idle. One of sixty
+/// was sent 251 requests in 3.5 s and turned 247 of them away.
+#[test]
+fn a_server_that_turns_all_away_is_sent_little() {
+    let mut stage = Stage::new(settings(), (1..=6).map(listing).collect());
+    stage.settle(&[1, 2, 3, 4, 5, 6], 2.0, 0.5);
+    let mut to_full = 0;
+    for _ in 0..300 {
+        stage.report(1, 0.0, 0.1);
+        (2..=6).for_each(|id| stage.report(id, 2.0, 0.5));
+        let (request, actions) = stage.arrive(ONCE);
+        let (mut next, mut attempt) = (sent_to(&actions), 0);
+        while let Some(to) = next {
+            stage.now += 10.0;
+            let full = to.0 == 1;
+            to_full += usize::from(full);
+            let outcome = if full { Outcome::Full } else { Outcome::Ok };
+            next = sent_to(&stage.finish(request, attempt, to, outcome, 10.0));
+            attempt += 1;
+        }
+    }
+    assert!((1..30).contains(&to_full), "{to_full} of 300 first attempts and their repeats");
+}
