See a client leave behind whatever it wrote after its request

Seen: of a client that closes, half-closes or resets with bytes behind its open request, nothing is noticed; its attempt stays out, its next attempt goes out, and the room it held stays taken (a later request is refused, 503). Checked: hyper 1.12 stops reading once its buffer holds bytes and a request is open (mid_message_detect_eof in its src/proto/h1/conn.rs returns Pending without a waker), so the end of the stream never reaches src/net/client.rs, connection(). Ruled out: the driver, which drops an attempt, connecting or out, as soon as it is told (a client that leaves with nothing behind its request did so before). The connection's task now reads ahead while a request is open: 32 KiB are kept for hyper, more is read for its end alone. Tests: tests/crossings.rs, three tests over all ways to leave, all of which fail without the change.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,8 +2,10 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -22,6 +24,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::driver::Happening;
+use super::inbound::Inbound;
 use super::log;
 use super::upstream::BODY_BYTES;
 
@@ -256,12 +259,15 @@
             Ok::<_, Infallible>(response)
         }
     });
+    let (stream, peer) = Inbound::new(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(if now == Phase::Closing { IDLE_AT_END } else { IDLE })
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    // Looked at anew each time this task wakes: a request begins while the others are waited for.
+    let busy = || slot.free_since.load(Ordering::Relaxed) == BUSY;
     loop {
         tokio::select! {
             // First read what has come, then look at the phase: a request that waits in the socket when its
@@ -269,6 +275,8 @@
             biased;
             // Errors here are clients that left or wrote nonsense; hyper has answered those it can.
             _ = connection.as_mut() => return,
+            // Its request is dropped with the connection, and with it what goes out for it.
+            () = poll_fn(|cx| if busy() { peer.poll_gone(cx) } else { Poll::Pending }) => return,
             changed = phase.changed() => {
                 let now = *phase.borrow_and_update();
                 // A connection that has carried nothing yet is about to: it gets its one answer while
@@ -283,7 +291,7 @@
             }
             () = slot.make_room.notified() => {
                 // A request may have come in this very moment: it is answered first.
-                if slot.free_since.load(Ordering::Relaxed) != BUSY {
+                if !busy() {
                     return;
                 }
                 connection.as_mut().graceful_shutdown();
--- /dev/null
+++ b/src/net/inbound.rs
@@ -0,0 +1,111 @@
+//! A client's connection as hyper sees it, and what hyper does not see: that the client has gone while its request
+//! waits. hyper reads no further once bytes stand behind a request that is open, and then hears of no end either.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+
+use bytes::{Buf, BytesMut};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+/// What is kept of the bytes behind an open request: the head of another. Clients send one at a time, so what is
+/// longer comes from none; it is read for its end alone, and the connection is of no more use after its answer.
+const AHEAD_BYTES: usize = 32 << 10;
+/// How much is read at once.
+const PIECE_BYTES: usize = 8 << 10;
+
+struct Reading {
+    half: OwnedReadHalf,
+    /// Read from the socket and not yet by hyper.
+    ahead: BytesMut,
+    /// Bytes behind those were dropped: nothing that follows can be told apart.
+    cut: bool,
+}
+
+/// The stream that hyper reads from and writes to.
+pub struct Inbound {
+    reading: Arc<Mutex<Reading>>,
+    writing: OwnedWriteHalf,
+}
+
+/// The other end of a client's connection, to be watched while its request is open.
+pub struct Peer(Arc<Mutex<Reading>>);
+
+fn lock(reading: &Mutex<Reading>) -> MutexGuard<'_, Reading> {
+    reading.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Inbound {
+    /// Wraps a stream.
+    pub fn new(stream: TcpStream) -> (Inbound, Peer) {
+        let (half, writing) = stream.into_split();
+        let reading = Arc::new(Mutex::new(Reading { half, ahead: BytesMut::new(), cut: false }));
+        let peer = Peer(reading.clone());
+        (Inbound { reading, writing }, peer)
+    }
+}
+
+impl Peer {
+    /// Ready once the client has closed, half-closed or reset its connection. Reads ahead of hyper to find out,
+    /// so it is only to be polled while a request is open.
+    pub fn poll_gone(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let reading = &mut *lock(&self.0);
+        let mut piece = [0; PIECE_BYTES];
+        loop {
+            let mut buf = ReadBuf::new(&mut piece);
+            let read = ready!(Pin::new(&mut reading.half).poll_read(cx, &mut buf));
+            if read.is_err() || buf.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            reading.cut |= reading.ahead.len() + buf.filled().len() > AHEAD_BYTES;
+            if !reading.cut {
+                reading.ahead.extend_from_slice(buf.filled());
+            }
+        }
+    }
+}
+
+impl AsyncRead for Inbound {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let reading = &mut *lock(&self.reading);
+        if !reading.ahead.is_empty() {
+            let count = reading.ahead.len().min(buf.remaining());
+            buf.put_slice(&reading.ahead[..count]);
+            reading.ahead.advance(count);
+            return Poll::Ready(Ok(()));
+        }
+        if reading.cut {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "too much behind a request")));
+        }
+        Pin::new(&mut reading.half).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Inbound {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.writing).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.writing).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.writing.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.writing).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.writing).poll_shutdown(cx)
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod counted;
 pub mod discovery;
 pub mod driver;
+pub mod inbound;
 pub mod log;
 pub mod servers;
 pub mod upstream;
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,164 @@
+//! Instants in which one thing ends while another is still owed, each forced over loopback sockets.
+
+mod loopback;
+
+use std::io::Write;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use loopback::*;
+use socket2::SockRef;
+
+/// How a client goes while its request is open.
+#[derive(Debug, Clone, Copy)]
+enum Leaving {
+    Closes,
+    HalfCloses,
+    Resets,
+}
+
+/// All ways to go, each with nothing behind the request and with further bytes behind it: part of another request,
+/// a whole one, and more than is kept of it.
+fn ways_to_leave() -> Vec<(Leaving, String)> {
+    let behind = [String::new(), "GET /fetch?k".to_owned(), request("fetch", 60_000), "x".repeat(100_000)];
+    let ways = [Leaving::Closes, Leaving::HalfCloses, Leaving::Resets];
+    ways.into_iter().flat_map(|way| behind.clone().map(|bytes| (way, bytes))).collect()
+}
+
+/// Writes further bytes and goes. What is given back keeps a half-closed connection open.
+fn leave(mut client: Client, way: Leaving, behind: &str) -> Option<Client> {
+    client.write(behind.as_bytes());
+    // The sidecar has read them before the end comes: only then can they hide it.
+    std::thread::sleep(Duration::from_millis(50));
+    match way {
+        Leaving::Closes => None,
+        Leaving::HalfCloses => {
+            let _ = client.reader.get_ref().shutdown(Shutdown::Write);
+            Some(client)
+        }
+        Leaving::Resets => {
+            SockRef::from(client.reader.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+            None
+        }
+    }
+}
+
+/// The requests of a class that reached an upstream.
+fn of_class(upstream: &Upstream, class: &str) -> usize {
+    let path = format!("/{class}?");
+    upstream.requests().iter().filter(|request| request.line.contains(&path)).count()
+}
+
+#[test]
+fn a_client_that_leaves_with_bytes_behind_its_request_takes_its_attempt_with_it() {
+    for (way, behind) in ways_to_leave() {
+        let silent = Upstream::new(|_| Deed::Silence);
+        let (sidecar, _discovery) = Sidecar::with(&[&silent]);
+        let mut client = Client::to(sidecar.address);
+        // Longer than this test: only the client's leaving can end the attempt, and nothing may follow it.
+        client.send("bill", 600_000);
+        until("it has arrived", || silent.requests().len() == 1);
+        let _half_open = leave(client, way, &behind);
+        let connection = silent.requests()[0].connection;
+        until(&format!("the attempt is closed: {way:?}"), || silent.closed(connection).is_some());
+        let mut other = Client::to(sidecar.address);
+        other.send("log", 600_000);
+        until("a later one has arrived", || of_class(&silent, "log") == 1);
+        assert_eq!(silent.requests().len(), 2, "{way:?}, with {} bytes behind", behind.len());
+    }
+}
+
+#[test]
+fn a_client_that_leaves_between_two_attempts_is_not_sent_on() {
+    for (way, behind) in ways_to_leave() {
+        let silent = [0, 1].map(|_| Upstream::new(|_| Deed::Silence));
+        let (sidecar, _discovery) = Sidecar::with(&[&silent[0], &silent[1]]);
+        let mut client = Client::to(sidecar.address);
+        // Its first attempt is given up after about 2.3 s, and by then another would be due.
+        client.send("fetch", 600_000);
+        let arrived = || silent.iter().map(|upstream| of_class(upstream, "fetch")).sum::<usize>();
+        until("it has arrived", || arrived() == 1);
+        let _half_open = leave(client, way, &behind);
+        let at = silent.iter().find(|upstream| !upstream.requests().is_empty()).unwrap();
+        let connection = at.requests()[0].connection;
+        until(&format!("the attempt is closed: {way:?}"), || at.closed(connection).is_some());
+        let mut other = Client::to(sidecar.address);
+        other.send("bill", 600_000);
+        let later = || silent.iter().any(|upstream| of_class(upstream, "bill") == 1);
+        until("a later one has arrived", later);
+        assert_eq!(arrived(), 1, "{way:?}, with {} bytes behind", behind.len());
+    }
+}
+
+/// An upstream that connections to do not come up: its accept queue is full until this is told to accept.
+struct Late {
+    listener: TcpListener,
+    queue: Vec<TcpStream>,
+}
+
+impl Late {
+    fn new() -> Late {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let listener = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4().unwrap();
+            socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            socket.listen(1).unwrap().into_std().unwrap()
+        });
+        listener.set_nonblocking(false).unwrap();
+        let address = listener.local_addr().unwrap();
+        Late { listener, queue: [0, 1].map(|_| TcpStream::connect(address).unwrap()).into() }
+    }
+
+    /// From now on connections come up and all is served; counts the requests of a class.
+    fn accept(self, class: &'static str) -> Arc<AtomicUsize> {
+        let written = Arc::new(AtomicUsize::new(0));
+        let seen = written.clone();
+        drop(self.queue);
+        std::thread::spawn(move || {
+            for stream in self.listener.incoming().flatten() {
+                let seen = seen.clone();
+                std::thread::spawn(move || {
+                    let mut reader = std::io::BufReader::new(stream);
+                    while let Some(message) = read_message(&mut reader) {
+                        if message.line.contains(&format!("/{class}?")) {
+                            seen.fetch_add(1, Ordering::SeqCst);
+                        }
+                        let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    }
+                });
+            }
+        });
+        written
+    }
+}
+
+/// Settings under which connecting and waiting for an answer take as long as a test wants.
+fn patient() -> String {
+    SETTINGS
+        .replace(r#""connect_timeout":2000.0"#, r#""connect_timeout":25000.0"#)
+        .replace(r#""aim":3000.0"#, r#""aim":60000.0"#)
+}
+
+#[test]
+fn a_client_that_leaves_while_its_attempt_connects_is_not_sent_on() {
+    let late = Late::new();
+    let known = list(5, true, &[entry("a", late.listener.local_addr().unwrap(), "ready")]);
+    let discovery = Discovery::new(&known);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, &patient()));
+    sidecar.wait_up();
+    let mut half_open = Vec::new();
+    for (way, behind) in ways_to_leave() {
+        let mut client = Client::to(sidecar.address);
+        client.send("bill", 600_000);
+        half_open.push(leave(client, way, &behind));
+    }
+    let mut other = Client::to(sidecar.address);
+    other.send("log", 600_000);
+    std::thread::sleep(Duration::from_millis(300));
+    let written = late.accept("bill");
+    // The kernel tries anew to connect after 1, 3 and 7 s: all that still connect come up with this one or before.
+    assert_eq!(other.read().expect("an answer").status(), 200);
+    assert_eq!(written.load(Ordering::SeqCst), 0);
+}
