Let a connection be quiet for 50 ms before it is used again

A second answer that comes once the next request has begun was served as that one's: the driver takes the connection used last first. Lines at fault: src/net/upstream.rs, Pool::take. Ruled out: counted.rs, whose look into the socket before a request only sees what has already come. 50 ms: a kernel that holds back small writes sends the second once the first is acknowledged, up to 40 ms later.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -26,6 +26,10 @@
 /// Once an answer has begun, its bytes follow each other: it is small and made before it is sent. When none has
 /// come in two such spans in a row, what is missing is not on its way.
 const STALL: Duration = Duration::from_millis(15);
+/// A connection is not used again so soon after an answer: a server may send a second one behind it, and what comes
+/// once the next request has begun would be taken for that one's. A server whose kernel holds small writes back
+/// sends what follows an answer when that is acknowledged, which takes up to 40 ms.
+const QUIET: Duration = Duration::from_millis(50);
 /// How long a connection may take to become ready for the next request once an answer was read.
 const SETTLE: Duration = Duration::from_millis(100);
 
@@ -311,14 +315,13 @@
 }
 
 impl Pool {
-    /// Takes the one used last, so that the others can grow old and close.
+    /// Takes the one used last of those that have been quiet for long enough, so that the others can grow old and
+    /// close.
     pub fn take(&mut self, idle_limit: Duration) -> Option<Connection> {
-        while let Some(connection) = self.idle.pop() {
-            if connection.is_usable() && connection.idle_since.elapsed() < idle_limit {
-                return Some(connection);
-            }
-        }
-        None
+        self.sweep(idle_limit);
+        let quiet = |c: &Connection| !c.used || c.idle_since.elapsed() >= QUIET;
+        let at = self.idle.iter().rposition(quiet)?;
+        Some(self.idle.remove(at))
     }
 
     /// Takes one back.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -162,3 +162,20 @@
     assert_eq!(other.read().expect("an answer").status(), 200);
     assert_eq!(written.load(Ordering::SeqCst), 0);
 }
+
+#[test]
+fn a_second_answer_that_comes_late_is_nobody_elses() {
+    for late in [1, 4, 10].map(Duration::from_millis) {
+        let count = AtomicUsize::new(0);
+        let upstream = Upstream::new(move |message| match (message.line.split(' ').next(), &count) {
+            (Some("POST"), count) if count.fetch_add(1, Ordering::SeqCst) % 2 == 0 => Deed::AnswerTwice(late),
+            _ => Deed::ok("own"),
+        });
+        let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+        let mut client = Client::to(sidecar.address);
+        for _ in 0..20 {
+            assert_eq!(client.ask("bill").body, b"first");
+            assert_eq!(client.ask("bill").body, b"own", "{late:?} late");
+        }
+    }
+}
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -80,6 +80,8 @@
     Torn,
     /// Answers, and closes the connection a moment later without having said so.
     AnswerAndClose,
+    /// Answers, and again this much later, whatever has come meanwhile.
+    AnswerTwice(Duration),
     /// Answers once the test says so.
     Wait(Arc<AtomicUsize>),
 }
@@ -177,6 +179,11 @@
                 std::thread::sleep(Duration::from_millis(20));
                 return drop(reader.get_ref().shutdown(Shutdown::Both));
             }
+            Deed::AnswerTwice(after) => {
+                let _ = writer.write_all(&answer(200, "", b"first"));
+                std::thread::sleep(after);
+                let _ = writer.write_all(&answer(200, "", b"again"));
+            }
             Deed::Wait(go) => {
                 until("the test lets go", || go.load(Ordering::SeqCst) > 0);
                 let _ = writer.write_all(&answer(200, "", b"late"));
