Read discovery's objects wherever their lines end, and count a part of one as silence

Seen: a list that comes indented is never taken in; a watch that trickles part of an object, or spaces, counts as alive for good. Lines at fault: src/net/discovery.rs, Lines (cuts at line ends) and once() (any byte was a sign of life for 3 s). Objects are now cut out by their braces. A sign of life is an object that ends or an empty line; one that has begun must end within the silence, which is 2.5 s (an empty line comes every 2 s). A watch that ends inside an object is followed by the whole list, as one with a broken line was.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::{Context, Result, bail};
-use bytes::{Bytes, BytesMut};
+use anyhow::{Context, Result, anyhow, bail};
+use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
@@ -13,20 +14,23 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::driver::Happening;
 use super::log;
 
-/// An empty line comes every 2 s; after this long without a byte the watch is dead. What it would have told
-/// counts as told 6 s after discovery knew it, so there is no time to wait for more.
-const SILENCE: Duration = Duration::from_millis(3_000);
+/// An empty line comes every 2 s; when neither one nor an object has come whole for this long, the watch is dead.
+/// What it misses counts as told 6 s after it fell silent: that leaves time for one more watch that falls silent
+/// at once, and for calls that hang before and after it.
+const SILENCE: Duration = Duration::from_millis(2_500);
 /// A call must be answered in this time.
 const CALL: Duration = Duration::from_millis(2_500);
-/// Waits between attempts to watch, doubling from the first to the last while they fail.
-const BACK_OFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(800)];
-/// The longest line: thousands of hosts. A stream without line ends must not fill the memory.
-const LINE_BYTES: usize = 2 << 20;
+/// The first wait after a watch has ended. It doubles while nothing is told, up to the longest.
+const BACK_OFF: Duration = Duration::from_millis(50);
+/// The longest.
+const BACK_OFF_MOST: Duration = Duration::from_millis(800);
+/// The longest object: thousands of hosts. One that never ends must not fill the memory.
+const OBJECT_BYTES: usize = 2 << 20;
 
 /// A list, or what changed in it, in discovery's form.
 #[derive(Deserialize)]
@@ -85,12 +89,8 @@
 impl HostList {
     /// The entries that can be read; the others are logged.
     pub fn entries(&self) -> Vec<Host> {
-        let read = |entry: &serde_json::Value| match Host::deserialize(entry) {
-            Ok(host) if host.share.is_finite() && host.born_ms.is_finite() => Some(host),
-            Ok(host) => {
-                log::line(format!("discovery: absurd figures for {}", host.host));
-                None
-            }
+        let read = |entry: &serde_json::Value| match read(entry) {
+            Ok(host) => Some(host),
             Err(error) => {
                 log::line(format!("discovery: an entry cannot be read: {error}"));
                 None
@@ -98,41 +98,80 @@
         };
         self.hosts.iter().filter_map(read).collect()
     }
-}
 
-impl HostList {
+    /// The entries that cannot be read.
+    fn unread(&self) -> impl Iterator<Item = &serde_json::Value> {
+        self.hosts.iter().filter(|entry| read(entry).is_err())
+    }
+
     /// The hosts whose entries cannot be read, as far as their names can.
     pub fn unread_names(&self) -> impl Iterator<Item = &str> {
-        let unread = |entry: &&serde_json::Value| Host::deserialize(*entry).is_err();
-        self.hosts.iter().filter(unread).filter_map(|entry| entry.get("host")?.as_str())
+        self.unread().filter_map(|entry| entry.get("host")?.as_str())
     }
 }
 
-/// Cuts a stream into lines, however it is chunked.
+/// Reads one entry.
+fn read(entry: &serde_json::Value) -> Result<Host> {
+    let host = Host::deserialize(entry)?;
+    if !host.share.is_finite() || !host.born_ms.is_finite() {
+        bail!("absurd figures for {}", host.host);
+    }
+    Ok(host)
+}
+
+/// Cuts a stream into the JSON objects in it, however it is chunked and wherever its lines end.
 #[derive(Default)]
-struct Lines {
-    buffer: BytesMut,
-    searched: usize,
+struct Objects {
+    /// What has come of the object that has begun.
+    begun: BytesMut,
+    depth: usize,
+    in_string: bool,
+    escaped: bool,
+    /// Whether a line has ended outside of any object since this was last asked.
+    line_ended: bool,
 }
 
-impl Lines {
-    fn push(&mut self, chunk: &[u8]) -> Result<()> {
-        if self.buffer.len() + chunk.len() > LINE_BYTES {
-            bail!("a line is longer than {LINE_BYTES} bytes");
+impl Objects {
+    /// Takes in a chunk, up to the end of the first object in it; that object if it ends, and how much was taken.
+    fn push(&mut self, chunk: &[u8]) -> Result<(Option<BytesMut>, usize)> {
+        for (at, byte) in chunk.iter().enumerate() {
+            if self.depth == 0 {
+                match byte {
+                    b'{' => {}
+                    b'\n' => self.line_ended = true,
+                    _ if byte.is_ascii_whitespace() => {}
+                    _ => bail!("what it says is no object"),
+                }
+            }
+            self.step(*byte);
+            if self.depth > 0 || *byte == b'}' {
+                self.begun.put_u8(*byte);
+            }
+            if self.begun.len() > OBJECT_BYTES {
+                bail!("an object is longer than {OBJECT_BYTES} bytes");
+            }
+            if self.depth == 0 && !self.begun.is_empty() {
+                return Ok((Some(self.begun.split()), at + 1));
+            }
         }
-        self.buffer.extend_from_slice(chunk);
-        Ok(())
+        Ok((None, chunk.len()))
     }
 
-    fn next(&mut self) -> Option<BytesMut> {
-        let Some(end) = self.buffer[self.searched..].iter().position(|byte| *byte == b'\n') else {
-            self.searched = self.buffer.len();
-            return None;
-        };
-        let mut line = self.buffer.split_to(self.searched + end + 1);
-        self.searched = 0;
-        line.truncate(line.len() - 1);
-        Some(line)
+    /// Follows braces, but for those in strings.
+    fn step(&mut self, byte: u8) {
+        match (self.in_string, byte) {
+            (true, _) if self.escaped => self.escaped = false,
+            (true, b'\\') => self.escaped = true,
+            (_, b'"') if self.depth > 0 => self.in_string = !self.in_string,
+            (false, b'{') => self.depth += 1,
+            (false, b'}') => self.depth -= 1,
+            _ => {}
+        }
+    }
+
+    /// Whether an object has begun and not ended.
+    fn inside(&self) -> bool {
+        self.depth > 0
     }
 }
 
@@ -146,20 +185,47 @@
     pub seq: u64,
     /// To the driver.
     pub news: mpsc::UnboundedSender<Happening>,
-    /// Whether a line could not be read.
-    pub missed: bool,
+}
+
+/// A watch that is open; it is closed when this is dropped.
+struct Opened {
+    body: Incoming,
+    _connection: AbortOnDrop,
+}
+
+/// How a watch ended.
+enum End {
+    /// It broke without a sign.
+    Silent,
+    /// In any other way.
+    Other(anyhow::Error),
+}
+
+impl<E: Into<anyhow::Error>> From<E> for End {
+    fn from(error: E) -> End {
+        End::Other(error.into())
+    }
+}
+
+impl std::fmt::Display for End {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            End::Silent => write!(f, "the watch fell silent"),
+            End::Other(error) => write!(f, "{error:#}"),
+        }
+    }
 }
 
 impl Watch {
     /// Watches for good, for settings under which news come by themselves.
     pub async fn keep(mut self) {
-        let mut wait = BACK_OFF[0];
+        let mut wait = BACK_OFF;
         loop {
             let before = self.seq;
             let Err(end) = self.once().await;
-            log::line(format!("discovery: {end:#}; watching again"));
+            log::line(format!("discovery: {end}; watching again"));
             // A watch that told something was in order; others back off, so as not to storm a discovery in need.
-            wait = if self.seq == before { (wait * 2).min(BACK_OFF[1]) } else { BACK_OFF[0] };
+            wait = if self.seq == before { (wait * 2).min(BACK_OFF_MOST) } else { BACK_OFF };
             sleep(wait).await;
         }
     }
@@ -167,62 +233,89 @@
     /// Watches once, for settings under which the module asks; it hears of the end and asks again.
     pub async fn ask(mut self) {
         let Err(end) = self.once().await;
-        log::line(format!("discovery: {end:#}"));
+        log::line(format!("discovery: {end}"));
         let _ = self.news.send(Happening::DiscoveryFailed { watch: self.number, seq: self.seq });
     }
 
-    async fn once(&mut self) -> Result<std::convert::Infallible> {
-        let stream = timeout(CALL, TcpStream::connect(self.address))
-            .await
-            .context("connecting took too long")?
-            .context("cannot connect")?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let _connection = AbortOnDrop(tokio::spawn(async move {
-            let _ = connection.await;
-        }));
-        let request = Request::get(format!("/discovery/hosts?watch=1&from={}", self.seq))
-            .header(header::HOST, self.address.to_string())
-            .body(Empty::<Bytes>::new())?;
-        let response = timeout(CALL, sender.send_request(request)).await.context("no answer in time")??;
-        if response.status() != StatusCode::OK {
-            bail!("answered {}", response.status());
-        }
-        let mut body = response.into_body();
-        let mut lines = Lines::default();
+    async fn once(&mut self) -> Result<std::convert::Infallible, End> {
+        let opened = self.call_in_time().await?;
+        self.follow(opened).await
+    }
+
+    async fn call_in_time(&self) -> Result<Opened, End> {
+        Ok(timeout(CALL, call(self.address, self.seq)).await.context("no answer in time")??)
+    }
+
+    /// Tells what a watch says until it ends.
+    async fn follow(&mut self, mut opened: Opened) -> Result<std::convert::Infallible, End> {
+        let mut objects = Objects::default();
+        let mut by = Instant::now() + SILENCE;
         loop {
-            let frame = timeout(SILENCE, body.frame()).await.context("the watch fell silent")?;
-            let frame = frame.context("the watch ended")??;
+            let frame = timeout_at(by, opened.body.frame()).await;
+            let broken = match frame {
+                Err(_) => Err(End::Silent),
+                Ok(None) => Err(anyhow!("the watch ended").into()),
+                Ok(Some(Err(error))) => Err(error.into()),
+                Ok(Some(Ok(frame))) => Ok(frame),
+            };
+            let frame = match broken {
+                Ok(frame) => frame,
+                Err(end) => {
+                    // What was missed is in no change that is told later: only the whole list can make up for it.
+                    if objects.inside() {
+                        self.seq = 0;
+                    }
+                    return Err(end);
+                }
+            };
             let Ok(chunk) = frame.into_data() else { continue };
-            lines.push(&chunk)?;
-            while let Some(line) = lines.next() {
-                self.tell(&line)?;
+            let was_inside = objects.inside();
+            let mut told = false;
+            let mut rest = &chunk[..];
+            while !rest.is_empty() {
+                let pushed = objects.push(rest).and_then(|(object, taken)| {
+                    rest = &rest[taken..];
+                    told |= object.is_some();
+                    object.map_or(Ok(()), |object| self.tell(&object))
+                });
+                if let Err(error) = pushed {
+                    self.seq = 0;
+                    return Err(error.into());
+                }
             }
-            if std::mem::take(&mut self.missed) {
-                self.seq = 0;
-                bail!("something was missed");
+            // Part of an object is no sign of life, nor is space in no line: they may go on for ever.
+            let line_ended = std::mem::take(&mut objects.line_ended) && !objects.inside();
+            let begun = objects.inside() && !was_inside;
+            if told || begun || line_ended {
+                by = Instant::now() + SILENCE;
             }
         }
     }
 
-    fn tell(&mut self, line: &[u8]) -> Result<()> {
-        if line.trim_ascii().is_empty() {
-            return Ok(());
-        }
-        match serde_json::from_slice::<HostList>(line) {
-            Ok(list) => {
-                self.seq = list.seq;
-                let news = Happening::Listed { watch: self.number, list };
-                self.news.send(news).context("the driver has ended")?;
-            }
-            // What the line said is missed: only the whole list can make up for it.
-            Err(error) => {
-                log::line(format!("discovery: a line cannot be read: {error}"));
-                self.seq = 0;
-                self.missed = true;
-            }
-        }
-        Ok(())
+    /// Tells the driver.
+    fn tell(&mut self, object: &[u8]) -> Result<()> {
+        let list: HostList = serde_json::from_slice(object).context("an object cannot be read")?;
+        self.seq = list.seq;
+        let news = Happening::Listed { watch: self.number, list };
+        self.news.send(news).ok().context("the driver has ended")
+    }
+}
+
+/// Asks for a watch from a version on.
+async fn call(address: SocketAddr, seq: u64) -> Result<Opened> {
+    let stream = TcpStream::connect(address).await.context("cannot connect")?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let connection = AbortOnDrop(tokio::spawn(async move {
+        let _ = connection.await;
+    }));
+    let request = Request::get(format!("/discovery/hosts?watch=1&from={seq}"))
+        .header(header::HOST, address.to_string())
+        .body(Empty::<Bytes>::new())?;
+    let response = sender.send_request(request).await?;
+    if response.status() != StatusCode::OK {
+        bail!("answered {}", response.status());
     }
+    Ok(Opened { body: response.into_body(), _connection: connection })
 }
 
 /// A task that ends with its owner.
@@ -238,29 +331,39 @@
 mod tests {
     use super::*;
 
+    fn objects(text: &[u8], size: usize) -> Result<(Vec<BytesMut>, Objects)> {
+        let mut objects = Objects::default();
+        let mut found = Vec::new();
+        for chunk in text.chunks(size) {
+            let mut rest = chunk;
+            while !rest.is_empty() {
+                let (object, taken) = objects.push(rest)?;
+                found.extend(object);
+                rest = &rest[taken..];
+            }
+        }
+        Ok((found, objects))
+    }
+
     #[test]
-    fn lines_are_found_however_they_are_chunked() {
-        let text = b"{\"a\":1}\n\n{\"b\":2}\n{\"c\"";
+    fn objects_are_found_however_they_are_chunked_and_indented() {
+        let whole = [&b"{\"a\":1}"[..], b"{\n  \"b\": {\n \"c\": \"}\\\"{\"\n }\n}", b"{}"];
+        let text = [whole[0], b"\n\n", whole[1], b" ", whole[2], b"\r\n{\"d\""].concat();
         for size in 1..text.len() {
-            let mut lines = Lines::default();
-            let mut found = Vec::new();
-            for chunk in text.chunks(size) {
-                lines.push(chunk).unwrap();
-                while let Some(line) = lines.next() {
-                    found.push(line.to_vec());
-                }
-            }
-            assert_eq!(found, [&b"{\"a\":1}"[..], b"", b"{\"b\":2}"], "chunks of {size}");
+            let (found, objects) = objects(&text, size).unwrap();
+            assert_eq!(found, whole, "chunks of {size}");
+            assert!(objects.inside() && objects.line_ended);
         }
+        assert!(objects(b"{}\nnonsense\n", 4).is_err());
+        assert!(objects(b"}{", 4).is_err());
     }
 
     #[test]
-    fn an_endless_line_ends_the_watch() {
-        let mut lines = Lines::default();
-        let chunk = vec![b'x'; LINE_BYTES / 2 + 1];
-        lines.push(&chunk).unwrap();
-        assert!(lines.next().is_none());
-        assert!(lines.push(&chunk).is_err());
+    fn an_endless_object_ends_the_watch() {
+        let mut objects = Objects::default();
+        let chunk = [b"{\"".to_vec(), vec![b'x'; OBJECT_BYTES / 2]].concat();
+        assert!(objects.push(&chunk).unwrap().0.is_none());
+        assert!(objects.push(&chunk).is_err());
     }
 
     #[test]
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -220,7 +220,7 @@
     fn watch(&mut self) {
         self.watches += 1;
         let (address, number, news) = (self.discovery, self.watches, self.happenings.clone());
-        let watch = Watch { address, number, seq: self.seq, news, missed: false };
+        let watch = Watch { address, number, seq: self.seq, news };
         self.watch = Some(AbortOnDrop(if self.subscribed {
             tokio::spawn(watch.ask())
         } else {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,10 +2,10 @@
 
 mod loopback;
 
-use std::io::Write;
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use loopback::*;
@@ -120,7 +120,7 @@
             for stream in self.listener.incoming().flatten() {
                 let seen = seen.clone();
                 std::thread::spawn(move || {
-                    let mut reader = std::io::BufReader::new(stream);
+                    let mut reader = BufReader::new(stream);
                     while let Some(message) = read_message(&mut reader) {
                         if message.line.contains(&format!("/{class}?")) {
                             seen.fetch_add(1, Ordering::SeqCst);
@@ -179,3 +179,120 @@
         }
     }
 }
+
+/// What a discovery does on one connection, step by step. After the last step it is silent until the other side
+/// closes.
+#[derive(Clone)]
+enum Step {
+    /// Answers: what is said from here on is the watch.
+    Head,
+    Say(String),
+    /// Says this again and again.
+    Trickle(&'static str),
+    Close,
+}
+
+/// A discovery that does on its first connection as the first script says, and so on; the last script stays.
+struct Scripted {
+    address: SocketAddr,
+    watches: Arc<Mutex<Vec<String>>>,
+}
+
+impl Scripted {
+    fn new(scripts: &[&[Step]]) -> Scripted {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let watches = Arc::new(Mutex::new(Vec::new()));
+        let (seen, scripts) = (watches.clone(), scripts.iter().map(|s| s.to_vec()).collect::<Vec<_>>());
+        std::thread::spawn(move || {
+            for (number, mut stream) in listener.incoming().flatten().enumerate() {
+                let script = scripts[number.min(scripts.len() - 1)].clone();
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let Some(request) = read_message(&mut reader) else { continue };
+                seen.lock().unwrap().push(request.line);
+                std::thread::spawn(move || {
+                    for step in script {
+                        match step {
+                            Step::Head => {
+                                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                                let _ = stream.write_all(head.as_bytes());
+                            }
+                            Step::Say(text) => {
+                                let _ = say(&mut stream, &text);
+                            }
+                            Step::Trickle(text) => {
+                                while say(&mut stream, text).is_ok() {
+                                    std::thread::sleep(Duration::from_millis(200));
+                                }
+                            }
+                            Step::Close => return drop(stream.shutdown(Shutdown::Both)),
+                        }
+                    }
+                    let _ = read_message(&mut reader);
+                });
+            }
+        });
+        Scripted { address, watches }
+    }
+
+    fn watches(&self) -> Vec<String> {
+        self.watches.lock().unwrap().clone()
+    }
+}
+
+fn say(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+}
+
+/// A watch that says this and lives on.
+fn lives(text: &str) -> [Step; 3] {
+    [Step::Head, Step::Say(text.to_owned()), Step::Trickle("\n")]
+}
+
+fn indented(text: &str) -> String {
+    serde_json::to_string_pretty(&serde_json::from_str::<serde_json::Value>(text).unwrap()).unwrap()
+}
+
+fn start(discovery: &Scripted, known: &[&Upstream], settings: &str) -> Sidecar {
+    let text = config("127.0.0.1:0", discovery.address, &ready(known), 1024, settings);
+    let sidecar = Sidecar::start(&text);
+    sidecar.wait_up();
+    sidecar
+}
+
+fn serves(sidecar: &Sidecar, upstream: &Upstream) {
+    let mut client = Client::to(sidecar.address);
+    until("it serves", || client.ask("fetch").status() == 200 && !upstream.requests().is_empty());
+}
+
+#[test]
+fn lists_are_read_however_they_are_laid_out() {
+    let [a, b, c] = [0, 1, 2].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let whole = list(6, true, &[entry("a", a.address, "ready"), entry("b", b.address, "ready")]);
+    // Two in one piece, with blank lines and nothing at all between them.
+    let changes = [
+        indented(&list(7, false, &[entry("a", a.address, "draining")])),
+        indented(&list(8, false, &[entry("c", c.address, "ready")])),
+        list(9, false, &[entry("b", b.address, "draining")]),
+    ];
+    let text = format!("{}\n\n\n{}\r\n{}{}", indented(&whole), changes[0], changes[1], changes[2]);
+    let discovery = Scripted::new(&[&lives(&text)]);
+    let sidecar = start(&discovery, &[&a], SETTINGS);
+    serves(&sidecar, &c);
+    let mut client = Client::to(sidecar.address);
+    let before = a.requests().len() + b.requests().len();
+    (0..40).for_each(|_| drop(client.ask("fetch")));
+    assert_eq!(a.requests().len() + b.requests().len(), before, "both drain");
+    assert_eq!(discovery.watches().len(), 1);
+}
+
+#[test]
+fn a_watch_that_ends_goes_on_from_what_was_taken_in() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let whole = list(9, true, &[entry("a", a.address, "ready")]);
+    let ends = [Step::Head, Step::Say(format!("{whole}\n")), Step::Close];
+    let discovery = Scripted::new(&[&ends, &lives(&list(10, false, &[entry("b", b.address, "ready")]))]);
+    let sidecar = start(&discovery, &[&a], SETTINGS);
+    serves(&sidecar, &b);
+    assert!(discovery.watches()[1].contains("from=9 "));
+}
