Call discovery again beside calls that hang, at a pace that the drain grace sets

Seen, over loopback: a watch falls silent, two calls hang, the third is answered 8 s after (3 + 2.5 + 2.5), where what was missed counts as told after 6; the same after SIGHUP in 5 s, where it counts after 4. Where lists are asked for, a watch that fell silent was left to the module, which spreads its calls over up to half of must_ask_in. Counted over all waits: 3 s of silence, 2.5 s to connect, 2.5 s for the head, 0.8 s of back-off. Lines at fault: src/net/discovery.rs, once() and BACK_OFF. Ruled out: the driver, which starts the new watch at once and goes on from the version it has. Now a further call is made every quarter of the drain grace (50 to 500 ms) while others hang, the first answered is taken, and the oldest of eight makes room. What a watch missed is told again after 2.5 s and one pace a call that hangs; with a second watch that falls silent at once it is 5.7 s with the longest pace. Tests: a_watch_that_falls_silent_is_opened_anew_in_time_though_calls_hang and after_sighup_the_new_discovery_is_heard_in_time_though_calls_hang, both in both modes; both fail without the change.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! The discovery watch: reads the list of upstreams and its changes, and tells the driver.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::driver::Happening;
@@ -23,12 +24,17 @@
 /// What it misses counts as told 6 s after it fell silent: that leaves time for one more watch that falls silent
 /// at once, and for calls that hang before and after it.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// A call must be answered in this time.
+/// A call that the module asks for must be answered in this time.
 const CALL: Duration = Duration::from_millis(2_500);
-/// The first wait after a watch has ended. It doubles while nothing is told, up to the longest.
+/// The first wait after a watch has ended. It doubles while nothing is told, up to the pace.
 const BACK_OFF: Duration = Duration::from_millis(50);
-/// The longest.
-const BACK_OFF_MOST: Duration = Duration::from_millis(800);
+/// While calls hang another is made beside them at this pace, as what discovery gets when it returns counts at
+/// once: well within the time in which sends must stop. It answers from this machine, at once and at no cost.
+const PACE_SHARE: f64 = 0.25;
+/// The pace is no faster, so that trying costs little, and no slower, so that some tries fit into 6 s.
+const PACE: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(500)];
+/// So many calls may hang at a time. The oldest makes room for the next.
+const HANGING: usize = 8;
 /// The longest object: thousands of hosts. One that never ends must not fill the memory.
 const OBJECT_BYTES: usize = 2 << 20;
 
@@ -185,6 +191,8 @@
     pub seq: u64,
     /// To the driver.
     pub news: mpsc::UnboundedSender<Happening>,
+    /// How long sends may go on to a server once it is told that it drains.
+    pub drain_grace: Duration,
 }
 
 /// A watch that is open; it is closed when this is dropped.
@@ -222,24 +230,68 @@
         let mut wait = BACK_OFF;
         loop {
             let before = self.seq;
-            let Err(end) = self.once().await;
+            let opened = self.open().await;
+            let Err(end) = self.follow(opened).await;
             log::line(format!("discovery: {end}; watching again"));
             // A watch that told something was in order; others back off, so as not to storm a discovery in need.
-            wait = if self.seq == before { (wait * 2).min(BACK_OFF_MOST) } else { BACK_OFF };
+            wait = if self.seq == before { (wait * 2).min(self.pace()) } else { BACK_OFF };
             sleep(wait).await;
         }
     }
 
-    /// Watches once, for settings under which the module asks; it hears of the end and asks again.
-    pub async fn ask(mut self) {
-        let Err(end) = self.once().await;
+    /// Watches once, for settings under which the module asks; it hears of the end and asks again. What it has
+    /// asked for is not over when the watch falls silent, nor when discovery has `moved`: a watch that takes the
+    /// place of another is opened until one answers.
+    pub async fn ask(mut self, moved: bool) {
+        let mut opened = if moved { Ok(self.open().await) } else { self.call_in_time().await };
+        let end = loop {
+            match opened {
+                Ok(open) => match self.follow(open).await {
+                    Err(End::Silent) => {
+                        log::line(format!("discovery: {}; watching again", End::Silent));
+                        opened = Ok(self.open().await);
+                    }
+                    Err(end) => break end,
+                },
+                Err(end) => break end,
+            }
+        };
         log::line(format!("discovery: {end}"));
         let _ = self.news.send(Happening::DiscoveryFailed { watch: self.number, seq: self.seq });
     }
 
-    async fn once(&mut self) -> Result<std::convert::Infallible, End> {
-        let opened = self.call_in_time().await?;
-        self.follow(opened).await
+    /// How often discovery is tried while it does not answer.
+    fn pace(&self) -> Duration {
+        self.drain_grace.mul_f64(PACE_SHARE).clamp(PACE[0], PACE[1])
+    }
+
+    /// Opens a watch, whatever it takes.
+    async fn open(&self) -> Opened {
+        let mut calls = JoinSet::new();
+        let mut hanging = VecDeque::new();
+        let mut logged = false;
+        loop {
+            hanging.push_back(calls.spawn(call(self.address, self.seq)));
+            if hanging.len() > HANGING
+                && let Some(oldest) = hanging.pop_front()
+            {
+                oldest.abort();
+            }
+            let next = sleep(self.pace());
+            tokio::pin!(next);
+            loop {
+                tokio::select! {
+                    Some(called) = calls.join_next() => match called {
+                        Ok(Ok(opened)) => return opened,
+                        Ok(Err(error)) if !std::mem::replace(&mut logged, true) => {
+                            log::line(format!("discovery: {error:#}; calling again"));
+                        }
+                        Ok(Err(_)) | Err(_) => {}
+                    },
+                    () = &mut next => break,
+                }
+            }
+        }
     }
 
     async fn call_in_time(&self) -> Result<Opened, End> {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -198,7 +198,7 @@
         let known = known.unwrap_or(HostList { seq: 0, whole: true, hosts: Vec::new() });
         self.listed(&known, true);
         if !self.subscribed {
-            self.watch();
+            self.watch(false);
         }
         self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
         loop {
@@ -217,12 +217,13 @@
 
     /// Watches from here on in place of the watch before. What that one had on its way is dropped; the new
     /// one tells it again, since it goes on from the last version that was taken in.
-    fn watch(&mut self) {
+    fn watch(&mut self, moved: bool) {
         self.watches += 1;
         let (address, number, news) = (self.discovery, self.watches, self.happenings.clone());
-        let watch = Watch { address, number, seq: self.seq, news };
+        let drain_grace = Duration::from_secs_f64(self.settings.drain_grace_ms() / 1e3);
+        let watch = Watch { address, number, seq: self.seq, news, drain_grace };
         self.watch = Some(AbortOnDrop(if self.subscribed {
-            tokio::spawn(watch.ask())
+            tokio::spawn(watch.ask(moved))
         } else {
             tokio::spawn(watch.keep())
         }));
@@ -313,7 +314,7 @@
             Happening::Listed { .. } | Happening::DiscoveryFailed { .. } => {}
             Happening::Reloaded { discovery } => {
                 self.discovery = discovery;
-                self.watch();
+                self.watch(true);
             }
         }
     }
@@ -382,7 +383,7 @@
                 let at = self.epoch.checked_add(after).unwrap_or_else(Instant::now);
                 self.set_timer(at, Timer::Wake(token));
             }
-            Action::Subscribe => self.watch(),
+            Action::Subscribe => self.watch(false),
             Action::Log(text) => log::line(text),
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -111,6 +111,12 @@
     fall: f64,
     #[serde(default)]
     must_ask_in: f64,
+    #[serde(default = "default_drain_grace")]
+    drain_grace: f64,
+}
+
+fn default_drain_grace() -> f64 {
+    1_000.0
 }
 
 #[derive(Deserialize, Clone, Copy, PartialEq)]
@@ -229,6 +235,11 @@
         self.allowed.keepalive
     }
 
+    /// Once it is told that a server leaves, sends to it must stop in this time.
+    pub fn drain_grace_ms(&self) -> Millis {
+        self.invariants.drain_grace.clamp(0.0, 1e9)
+    }
+
     /// A connection that has not come up by then has failed.
     pub fn connect_timeout_ms(&self) -> Millis {
         self.allowed.connect_timeout
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use loopback::*;
 use socket2::SockRef;
@@ -286,6 +286,43 @@
     assert_eq!(discovery.watches().len(), 1);
 }
 
+/// Ways in which a watch is broken without having ended.
+fn silences(last: &str) -> [Vec<Step>; 5] {
+    let part = &last[..last.len() / 2];
+    [
+        vec![Step::Head],
+        vec![Step::Head, Step::Say(part.to_owned())],
+        vec![Step::Head, Step::Say(format!("{part}\n")), Step::Trickle("\n")],
+        vec![Step::Head, Step::Trickle("{")],
+        vec![Step::Head, Step::Trickle(" ")],
+    ]
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_in_time_though_calls_hang() {
+    for (settings, calls) in [(SETTINGS.to_owned(), 2), (SETTINGS.replace("automatic", "subscribe"), 1)] {
+        let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+        let news = list(9, false, &[entry("b", b.address, "ready")]);
+        // That many calls hang before one is answered; what was missed counts as told after 6 s.
+        let cases = silences(&news).map(|silent| {
+            let mut scripts: Vec<Vec<Step>> = vec![silent];
+            scripts.extend(vec![vec![]; calls]);
+            scripts.push(lives(&news).into());
+            Scripted::new(&scripts.iter().map(Vec::as_slice).collect::<Vec<_>>())
+        });
+        let sidecars = cases.each_ref().map(|discovery| start(discovery, &[&a], &settings));
+        until("all watch", || cases.iter().all(|discovery| !discovery.watches().is_empty()));
+        let began = Instant::now();
+        until("all watch again", || cases.iter().all(|discovery| discovery.watches().len() > calls + 1));
+        assert!(began.elapsed() < Duration::from_secs(6), "{:?}", began.elapsed());
+        for sidecar in &sidecars {
+            let before = b.requests().len();
+            let mut client = Client::to(sidecar.address);
+            until("it serves", || client.ask("fetch").status() == 200 && b.requests().len() > before);
+        }
+    }
+}
+
 #[test]
 fn a_watch_that_ends_goes_on_from_what_was_taken_in() {
     let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
@@ -296,3 +333,20 @@
     serves(&sidecar, &b);
     assert!(discovery.watches()[1].contains("from=9 "));
 }
+
+#[test]
+fn after_sighup_the_new_discovery_is_heard_in_time_though_calls_hang() {
+    for settings in [SETTINGS.to_owned(), SETTINGS.replace("automatic", "subscribe")] {
+        let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+        let old = Scripted::new(&[&lives(&ready(&[&a]))]);
+        let sidecar = start(&old, &[&a], &settings);
+        until("it watches", || !old.watches().is_empty());
+        let news = lives(&list(9, false, &[entry("b", b.address, "ready")]));
+        let new = Scripted::new(&[&[], &[], &news]);
+        sidecar.reload(&config("127.0.0.1:0", new.address, "null", 1024, &settings));
+        let began = Instant::now();
+        until("it watches again", || new.watches().len() > 2);
+        assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+        serves(&sidecar, &b);
+    }
+}
