Fetch again what could not be read of a list, and what came with a version that goes back

Seen: of a change with an entry that cannot be read the rest is taken in, and what the entry said is never asked for again; a change with an older version than the list's is taken in as news (a server that drains is ready again). Lines at fault: src/net/discovery.rs, tell(); entries() only logged. Ruled out: servers.rs, where an unread entry of a whole list leaves its host as it was, which stays so. Either now has the whole list fetched: at once after a change, and after 2 s after a whole list, whose entry may stay broken. Tests: what_cannot_be_read_of_a_list_is_fetched_again and a_change_whose_version_goes_back_is_not_taken_over, which fail without the change ('waited in vain').

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -35,6 +35,8 @@
 const PACE: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(500)];
 /// So many calls may hang at a time. The oldest makes room for the next.
 const HANGING: usize = 8;
+/// A whole list with an entry that cannot be read is fetched again after this long, as it may stay so.
+const FETCH_AGAIN: Duration = Duration::from_millis(2_000);
 /// The longest object: thousands of hosts. One that never ends must not fill the memory.
 const OBJECT_BYTES: usize = 2 << 20;
 
@@ -302,9 +304,12 @@
     async fn follow(&mut self, mut opened: Opened) -> Result<std::convert::Infallible, End> {
         let mut objects = Objects::default();
         let mut by = Instant::now() + SILENCE;
+        let mut fetch_by: Option<Instant> = None;
         loop {
-            let frame = timeout_at(by, opened.body.frame()).await;
+            let until = fetch_by.map_or(by, |fetch_by| fetch_by.min(by));
+            let frame = timeout_at(until, opened.body.frame()).await;
             let broken = match frame {
+                Err(_) if until < by => Err(anyhow!("something was missed").into()),
                 Err(_) => Err(End::Silent),
                 Ok(None) => Err(anyhow!("the watch ended").into()),
                 Ok(Some(Err(error))) => Err(error.into()),
@@ -314,7 +319,7 @@
                 Ok(frame) => frame,
                 Err(end) => {
                     // What was missed is in no change that is told later: only the whole list can make up for it.
-                    if objects.inside() {
+                    if objects.inside() || fetch_by.is_some() {
                         self.seq = 0;
                     }
                     return Err(end);
@@ -327,12 +332,16 @@
             while !rest.is_empty() {
                 let pushed = objects.push(rest).and_then(|(object, taken)| {
                     rest = &rest[taken..];
-                    told |= object.is_some();
-                    object.map_or(Ok(()), |object| self.tell(&object))
+                    let again = object.map(|object| self.tell(&object)).transpose()?;
+                    told |= again.is_some();
+                    Ok(again.flatten())
                 });
-                if let Err(error) = pushed {
-                    self.seq = 0;
-                    return Err(error.into());
+                match pushed {
+                    Ok(again) => fetch_by = again.or(fetch_by),
+                    Err(error) => {
+                        self.seq = 0;
+                        return Err(error.into());
+                    }
                 }
             }
             // Part of an object is no sign of life, nor is space in no line: they may go on for ever.
@@ -344,12 +353,21 @@
         }
     }
 
-    /// Tells the driver.
-    fn tell(&mut self, object: &[u8]) -> Result<()> {
+    /// Tells the driver. When something in it could not be read, by when it is to be fetched again.
+    fn tell(&mut self, object: &[u8]) -> Result<Option<Instant>> {
         let list: HostList = serde_json::from_slice(object).context("an object cannot be read")?;
+        if !list.whole && list.seq < self.seq {
+            bail!("version {} came after {}", list.seq, self.seq);
+        }
         self.seq = list.seq;
+        let (whole, unread) = (list.whole, list.unread().next().is_some());
         let news = Happening::Listed { watch: self.number, list };
-        self.news.send(news).ok().context("the driver has ended")
+        self.news.send(news).ok().context("the driver has ended")?;
+        match (unread, whole) {
+            (false, _) => Ok(None),
+            (true, true) => Ok(Some(Instant::now() + FETCH_AGAIN)),
+            (true, false) => Ok(Some(Instant::now())),
+        }
     }
 }
 
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -323,6 +323,39 @@
     }
 }
 
+#[test]
+fn what_cannot_be_read_of_a_list_is_fetched_again() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let broken = list(6, false, &[entry("a", a.address, "draining"), entry("b", b.address, "gibberish")]);
+    let whole = list(6, true, &[entry("a", a.address, "draining"), entry("b", b.address, "ready")]);
+    // In a change, in a whole list, and instead of either.
+    for first in [broken.clone(), broken.replace("false", "true"), "gibberish".to_owned(), "7\n".to_owned()] {
+        let discovery = Scripted::new(&[&lives(&first), &lives(&whole)]);
+        let sidecar = start(&discovery, &[&a], SETTINGS);
+        let before = b.requests().len();
+        let mut client = Client::to(sidecar.address);
+        until("it serves", || client.ask("fetch").status() == 200 && b.requests().len() > before);
+        assert!(discovery.watches()[1].contains("from=0 "), "{first}");
+    }
+}
+
+#[test]
+fn a_change_whose_version_goes_back_is_not_taken_over() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let whole = list(9, true, &[entry("a", a.address, "draining"), entry("b", b.address, "ready")]);
+    let back = list(7, false, &[entry("a", a.address, "ready"), entry("b", b.address, "draining")]);
+    let discovery = Scripted::new(&[&lives(&format!("{whole}\n{back}\n")), &lives(&whole)]);
+    let sidecar = start(&discovery, &[&a], SETTINGS);
+    until("the whole list is asked for", || {
+        discovery.watches().iter().any(|watch| watch.contains("from=0 "))
+    });
+    serves(&sidecar, &b);
+    let mut client = Client::to(sidecar.address);
+    let before = a.requests().len();
+    (0..20).for_each(|_| assert_eq!(client.ask("fetch").status(), 200));
+    assert_eq!(a.requests().len(), before);
+}
+
 #[test]
 fn a_watch_that_ends_goes_on_from_what_was_taken_in() {
     let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
