Heed SIGHUP until the end of the program, not only until SIGTERM

Seen: SIGHUP after SIGTERM changes nothing, so the watch dies with the old discovery address and drains are not heard of while requests are finished, for up to the longest deadline. Lines at fault: src/main.rs, the loop that took hangup.recv() ended with SIGTERM. A task of its own now takes it. Test: news_after_sighup_count_for_what_is_held_at_the_end, which fails without the change (it never watches).

--- a/src/main.rs
+++ b/src/main.rs
@@ -2,12 +2,13 @@
 
 mod net;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -48,13 +49,14 @@
     let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
     // Unhandled it would end the program; so it is taken before anyone can know that the program runs.
-    let mut hangup = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
+    let hangup = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
     let listener = client::listen(config.listen)?;
     let address = listener.local_addr().context("the listener has no address")?;
     log::line(format!("listening on {address}"));
     let (phase, phases) = watch::channel(Phase::Open);
     let (happenings, inbox) = mpsc::unbounded_channel();
-    let reloads = happenings.clone();
+    // Until the end of the program: who is told of a drain must keep it to the last request.
+    tokio::spawn(reload(hangup, address, happenings.clone()));
     let at_last = happenings.clone();
     let seed = config.seed();
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
@@ -65,14 +67,11 @@
     let mut driver = tokio::spawn(driver.run(config.known));
     let mut serving = tokio::spawn(client::serve(listener, front, each));
 
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break log::line("SIGTERM: finishing what is held"),
-            _ = interrupt.recv() => break log::line("SIGINT: finishing what is held"),
-            _ = hangup.recv() => reload(address, &reloads),
-            // It never ends by itself. Without it nothing is answered: better to be started anew.
-            _ = &mut driver => bail!("the driver has failed"),
-        }
+    tokio::select! {
+        _ = terminate.recv() => log::line("SIGTERM: finishing what is held"),
+        _ = interrupt.recv() => log::line("SIGINT: finishing what is held"),
+        // It never ends by itself. Without it nothing is answered: better to be started anew.
+        _ = &mut driver => bail!("the driver has failed"),
     }
     let last = Instant::now() + longest.max(LEAST_DEADLINE) + LAST_MARGIN;
     phase.send_replace(Phase::Leaving);
@@ -87,17 +86,23 @@
     Ok(())
 }
 
-/// Reads the configuration again. One that is not sound changes nothing.
-fn reload(listening: std::net::SocketAddr, happenings: &mpsc::UnboundedSender<Happening>) {
-    match Config::from_env() {
-        Ok(config) => {
-            log::line(format!("SIGHUP: discovery is at {}", config.discovery));
-            if config.listen.port() != 0 && config.listen != listening {
-                log::line(format!("SIGHUP: listening on {} takes a restart", config.listen));
-            }
-            // The driver goes before the program does, and then nothing is left to be told.
-            let _ = happenings.send(Happening::Reloaded { discovery: config.discovery });
+/// Waits for SIGHUP and then reads the configuration again. One that is not sound changes nothing.
+async fn reload(mut hangup: Signal, listening: SocketAddr, happenings: mpsc::UnboundedSender<Happening>) {
+    while hangup.recv().await.is_some() {
+        if let Err(error) = read_again(listening, &happenings) {
+            log::line(format!("SIGHUP: the old configuration stays: {error:#}"));
         }
-        Err(error) => log::line(format!("SIGHUP: the old configuration stays: {error:#}")),
     }
 }
+
+/// Reads the configuration again. One that is not sound changes nothing.
+fn read_again(listening: SocketAddr, happenings: &mpsc::UnboundedSender<Happening>) -> Result<()> {
+    let config = Config::from_env()?;
+    log::line(format!("SIGHUP: discovery is at {}", config.discovery));
+    if config.listen.port() != 0 && config.listen != listening {
+        log::line(format!("SIGHUP: listening on {} takes a restart", config.listen));
+    }
+    // The driver goes before the program does, and then nothing is left to be told.
+    let _ = happenings.send(Happening::Reloaded { discovery: config.discovery });
+    Ok(())
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -482,3 +482,29 @@
     sidecar.signal("-TERM");
     assert!(sidecar.wait_exit().success());
 }
+
+#[test]
+fn news_after_sighup_count_for_what_is_held_at_the_end() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let let_go = go.clone();
+    let full = Upstream::new(move |_| {
+        until("the test lets go", || let_go.load(Ordering::SeqCst) > 0);
+        Deed::Answer(503, "X-Not-Processed: 1\r\n", vec![])
+    });
+    let other = Upstream::new(|_| Deed::ok("served"));
+    let (mut sidecar, _discovery) = Sidecar::with(&[&full]);
+    let mut held = Client::to(sidecar.address);
+    held.send("bill", 8_000);
+    until("it is held", || full.connections() > 0);
+    sidecar.signal("-TERM");
+    sidecar.wait_log("SIGTERM");
+    let news = list(9, true, &[entry("a", full.address, "draining"), entry("b", other.address, "ready")]);
+    let discovery = Discovery::new(&news);
+    sidecar.reload(&config("127.0.0.1:0", discovery.address, "null", 1024, SETTINGS));
+    until("it watches", || !discovery.watches().is_empty());
+    // The list is written behind the head: it is there before what the server says next.
+    std::thread::sleep(Duration::from_millis(200));
+    go.store(1, Ordering::SeqCst);
+    assert_eq!(held.read().expect("an answer").body, b"served");
+    assert!(sidecar.wait_exit().success());
+}
