Read a configuration again that could not be read at SIGHUP

Seen: a file that is half written when SIGHUP comes leaves the old address in force for good; the old discovery closes after 1.5 s, and what the new one has counts as told after 4 s. Line at fault: src/main.rs, reload(), which read once. It is now read again after 50 ms, then at waits that double to 1 s, until it is sound or the next SIGHUP comes; the log says so once. Test: a_configuration_that_is_half_written_at_sighup_is_read_again, which fails without the change ('waited in vain: it serves').

--- a/src/main.rs
+++ b/src/main.rs
@@ -26,6 +26,10 @@
 const LAST_MARGIN: Duration = Duration::from_millis(600);
 /// The last answers have this long to get out.
 const LAST_WORDS: Duration = Duration::from_millis(60);
+/// A configuration that cannot be read may be only half written. It is read again after the first of these waits,
+/// then after longer ones up to the second: what it says counts 4 s after SIGHUP.
+const READ_AGAIN: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -86,11 +90,22 @@
     Ok(())
 }
 
-/// Waits for SIGHUP and then reads the configuration again. One that is not sound changes nothing.
+/// Waits for SIGHUP and then reads the configuration until it is sound. Meanwhile the old one stays.
 async fn reload(mut hangup: Signal, listening: SocketAddr, happenings: mpsc::UnboundedSender<Happening>) {
     while hangup.recv().await.is_some() {
-        if let Err(error) = read_again(listening, &happenings) {
-            log::line(format!("SIGHUP: the old configuration stays: {error:#}"));
+        let mut wait = READ_AGAIN[0];
+        let mut told = false;
+        while let Err(error) = read_again(listening, &happenings) {
+            if !std::mem::replace(&mut told, true) {
+                log::line(format!("SIGHUP: the old configuration stays: {error:#}"));
+            }
+            tokio::select! {
+                () = sleep(wait) => wait = (wait * 2).min(READ_AGAIN[1]),
+                signal = hangup.recv() => match signal {
+                    Some(()) => (wait, told) = (READ_AGAIN[0], false),
+                    None => return,
+                },
+            }
         }
     }
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -508,3 +508,16 @@
     assert_eq!(held.read().expect("an answer").body, b"served");
     assert!(sidecar.wait_exit().success());
 }
+
+#[test]
+fn a_configuration_that_is_half_written_at_sighup_is_read_again() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let (sidecar, _old) = Sidecar::with(&[&a]);
+    let new = Discovery::new(&list(9, false, &[entry("b", b.address, "ready")]));
+    let text = config("127.0.0.1:0", new.address, "null", 1024, SETTINGS);
+    sidecar.reload(&text[..text.len() / 2]);
+    sidecar.wait_log("the old configuration stays");
+    assert_eq!(Client::to(sidecar.address).ask("fetch").status(), 200);
+    std::fs::write(&sidecar.file, &text).unwrap();
+    serves(&sidecar, &b);
+}
