--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -529,3 +529,86 @@
     std::fs::write(&sidecar.file, &text).unwrap();
     serves(&sidecar, &b);
 }
+
+#[test]
+fn sigterm_waits_for_an_attempt_that_still_connects() {
+    let late = Late::new();
+    let known = list(5, true, &[entry("a", late.listener.local_addr().unwrap(), "ready")]);
+    let discovery = Discovery::new(&known);
+    let mut sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, &patient()));
+    sidecar.wait_up();
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 8_000);
+    // Long enough to begin to connect; were it not, the request would wait in the socket, which is another test.
+    std::thread::sleep(Duration::from_millis(300));
+    sidecar.signal("-TERM");
+    sidecar.wait_log("SIGTERM");
+    let written = late.accept("bill");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    assert_eq!(written.load(Ordering::SeqCst), 1);
+    assert!(sidecar.wait_exit().success());
+}
+
+#[test]
+fn what_floods_in_behind_a_request_keeps_nobody_from_its_answer() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let let_go = go.clone();
+    let upstream = Upstream::new(move |_| Deed::Wait(let_go.clone()));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 20_000);
+    until("it has arrived", || upstream.requests().len() == 1);
+    // Far more than is kept, and than sockets hold: it can only be written if it is read.
+    client.write(&vec![b'x'; 60_000_000]);
+    go.store(1, Ordering::SeqCst);
+    assert_eq!(client.read().expect("an answer").body, b"late");
+    assert!(client.read_to_close().is_some(), "nothing that follows can be told apart");
+    assert_eq!(upstream.requests().len(), 1);
+}
+
+#[test]
+fn sixty_megabytes_of_anything_are_met_with_an_error_or_a_close() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let long = request("log", 5_000).replace("Content-Length: 5", "Content-Length: 60000000");
+    for start in [long, "\u{1}\u{16}".to_owned(), request("bill", 5_000).replace("bill?", "other?")] {
+        let mut client = Client::to(sidecar.address);
+        let began = Instant::now();
+        client.write(start.as_bytes());
+        client.write(&vec![b'x'; 60_000_000]);
+        let said = client.read_to_close().expect("a close");
+        assert!(said.is_empty() || said.starts_with(b"HTTP/1.1 4"), "{start}");
+        assert!(began.elapsed() < Duration::from_secs(6), "{start}: {:?}", began.elapsed());
+    }
+    assert_eq!(upstream.requests().len(), 0);
+}
+
+/// What a server does just as a request is written to its idle connection, and whether the request may have run.
+#[test]
+fn an_idle_connection_that_breaks_under_a_request_is_told_by_what_was_written() {
+    // The first answer on a connection is good; the second request on it meets a reset after its last byte.
+    let ways = [("fetch", 200), ("log", 200), ("bill", 502)];
+    for (class, status) in ways {
+        let broken = Arc::new(AtomicUsize::new(0));
+        let upstreams = [0, 1].map(|_| {
+            let broken = broken.clone();
+            let count = AtomicUsize::new(0);
+            Upstream::new(move |_| {
+                let again = count.fetch_add(1, Ordering::SeqCst) > 0;
+                if again && broken.fetch_add(1, Ordering::SeqCst) == 0 {
+                    Deed::Close
+                } else {
+                    Deed::ok("served")
+                }
+            })
+        });
+        let (sidecar, _discovery) = Sidecar::with(&[&upstreams[0], &upstreams[1]]);
+        let mut client = Client::to(sidecar.address);
+        let mut last = 200;
+        until("one breaks", || {
+            last = client.ask(class).status();
+            broken.load(Ordering::SeqCst) > 0
+        });
+        assert_eq!(last, status, "{class}: only what may be repeated is");
+    }
+}
