Force three more crossings: a late connection, the last descriptor, others' settings

All three held already, and fail on a copy broken on purpose: lives not compared, no idle connection closed for a newcomer, Retry-After where settings allow none. With the others repeated 50 times, no failure.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -612,3 +612,84 @@
         assert_eq!(last, status, "{class}: only what may be repeated is");
     }
 }
+
+#[test]
+fn a_connection_that_comes_up_when_its_server_lives_elsewhere_is_not_written_to() {
+    let late = Late::new();
+    let known = list(5, true, &[entry("a", late.listener.local_addr().unwrap(), "ready")]);
+    let discovery = Discovery::new(&known);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, &patient()));
+    sidecar.wait_up();
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 60_000);
+    // Long enough to begin to connect; were it not, nothing would fail here.
+    std::thread::sleep(Duration::from_millis(300));
+    let anew = Upstream::new(|_| Deed::ok("anew"));
+    discovery.say(&format!("{}\n", list(6, false, &[entry("a", anew.address, "ready")])));
+    until("the news have come", || Client::to(sidecar.address).ask("fetch").body == b"anew");
+    let written = late.accept("bill");
+    assert_eq!(client.read().expect("an answer").body, b"anew");
+    assert_eq!(written.load(Ordering::SeqCst), 0);
+}
+
+#[test]
+fn more_servers_than_connections_are_all_used() {
+    let upstreams: Vec<Upstream> = (0..25).map(|_| Upstream::new(|_| Deed::ok("served"))).collect();
+    let entries: Vec<String> = upstreams
+        .iter()
+        .enumerate()
+        .map(|(number, upstream)| entry(&format!("u{number}"), upstream.address, "ready"))
+        .collect();
+    let known = list(5, true, &entries);
+    let discovery = Discovery::new(&known);
+    // 64 descriptors leave 20 connections to servers; each further one takes the place of an idle one.
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 64, SETTINGS));
+    sidecar.wait_up();
+    let mut client = Client::to(sidecar.address);
+    until("all have served", || {
+        assert_eq!(client.ask("bill").status(), 200);
+        upstreams.iter().all(|upstream| !upstream.requests().is_empty())
+    });
+}
+
+#[test]
+fn the_settings_of_others_hold() {
+    let silent = Upstream::new(|_| Deed::Silence);
+    let settings = SETTINGS
+        .replace(r#""cancel":true"#, r#""cancel":false"#)
+        .replace(r#""retry_after":true"#, r#""retry_after":false"#)
+        .replace(r#""probes":true"#, r#""probes":false"#)
+        .replace(r#""max_attempts":4"#, r#""max_attempts":1"#)
+        .replace(r#""connect_timeout":2000.0"#, r#""connect_timeout":20.0"#)
+        .replace(r#""window":5000.0"#, r#""window":30.0"#)
+        .replace("8000.0", "60.0")
+        .replace("3000.0", "40.0")
+        .replace(r#""how":"pull""#, r#""how":"silent""#)
+        .replace(r#"["inflight","eps","util"]"#, "[]")
+        .replace(r#""name":"fetch""#, r#""name":"Fetch_It""#);
+    let (sidecar, _discovery) = Sidecar::with_settings(&[&silent], &settings);
+    let fetch =
+        || request("fetch", 60).replace("/fetch", "/Fetch_It").replace("Class: fetch", "Class: Fetch_It");
+    let ask = |text: String| {
+        let mut client = Client::to(sidecar.address);
+        client.write(text.as_bytes());
+        let answer = client.read().expect("an answer");
+        assert_eq!(answer.header("retry-after"), None);
+        let id = text.split("X-Request-ID: ").nth(1).unwrap()[..16].to_owned();
+        (answer.status(), id)
+    };
+    until("one has arrived", || {
+        assert_eq!(ask(fetch()).0, 503);
+        !silent.requests().is_empty()
+    });
+    let answers: Vec<_> =
+        (0..10).flat_map(|_| ["log", "bill"]).map(|class| ask(request(class, 60))).collect();
+    let came: Vec<String> =
+        silent.requests().iter().map(|request| request.header("x-request-id").unwrap().to_owned()).collect();
+    for (status, id) in answers {
+        // Refused where there was no room; what may have run has failed.
+        assert!(status == 502 || status == 503 && !came.contains(&id), "{status}");
+    }
+    let ids: std::collections::HashSet<&String> = came.iter().collect();
+    assert_eq!(ids.len(), came.len(), "one attempt each");
+}
