Ask discovery again within 1.5 s, however often it has failed before

Cause: where lists are asked for, Balancer::listed doubled its wait with each failure up to must_ask_in. With 10 s that is up to 10 s, on top of a call that hangs for 2.5 s, while a change counts as told 6 s after discovery had it and could be reached.

Change: the wait is capped at 1.5 s. Worst sum: 2.5 s (a call that hangs just as discovery returns) + 1.5 s + 1.5 s (after one that is refused) = 5.5 s. Full jitter stays, and so does the start at a quarter of must_ask_in.

Ruled out: must_ask_in itself, which is an upper bound for those who have asked nothing; the network code's calls.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -77,6 +77,9 @@
 const KINDS: usize = 64;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
 const ASK_OVER: f64 = 0.25;
+/// The longest wait before it is asked again. What changes counts as told 6 s after discovery had it and could be
+/// reached: a call that hangs takes up to 2.5 s of that, one refused after it a second wait, and 0.5 s are kept.
+const ASK_WITHIN: Millis = 1_500.0;
 
 /// The decision module of one sidecar. The same seed, settings and events give the same actions.
 #[derive(Debug)]
@@ -576,8 +579,9 @@
             self.seen.kinds.retain(|kind, _| self.upstreams.values().any(|upstream| upstream.kind == *kind));
         }
         let Discovery::Subscribed { must_ask_in } = self.settings.discovery else { return };
+        let longest = must_ask_in.min(ASK_WITHIN);
         self.seen.ask_wait =
-            if failed { (2.0 * self.seen.ask_wait).min(must_ask_in) } else { ASK_OVER * must_ask_in };
+            (if failed { 2.0 * self.seen.ask_wait } else { ASK_OVER * must_ask_in }).min(longest);
         if must_ask && !std::mem::replace(&mut self.seen.ask_pending, true) {
             // Full jitter: many may have restarted or been cut off together, and the list serves few at once.
             let at = self.now + self.seen.ask_wait * self.rng.rand_float();
