Draw the waits between calls to discovery with full jitter

Cause: Watch::open called again at a fixed pace and Watch::keep came back after a fixed 50 ms. Watches that end in one moment, as when the agents' upstream goes, came back in one, and stayed in step while they failed.

Change: each wait is drawn from nothing up to the pace, by a generator of the watch's own that the driver seeds. A watch that fell silent is opened anew after at most 50 ms: it has taken 2.5 s already, and two that fall silent in a row must fit into 6 s (0.5 + 2.5 + 0.05 + 2.5 + 0.05 s).

The test fails on the old code. Ruled out: a storm; the mean pace doubles to 4 calls a second at most, which the agent of the same machine answers at once and at no cost.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
+use oorandom::Rand64;
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -29,7 +30,8 @@
 /// The first wait after a watch has ended. It doubles while nothing is told, up to the pace.
 const BACK_OFF: Duration = Duration::from_millis(50);
 /// While calls hang another is made beside them at this pace, as what discovery gets when it returns counts at
-/// once: well within the time in which sends must stop. It answers from this machine, at once and at no cost.
+/// once: well within the time in which sends must stop. Each wait is drawn from nothing up to the pace (full
+/// jitter): the watches of a whole fleet end in one moment, and must not come back in one.
 const PACE_SHARE: f64 = 0.25;
 /// The pace is no faster, so that trying costs little, and no slower, so that some tries fit into 6 s.
 const PACE: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(500)];
@@ -195,6 +197,8 @@
     pub news: mpsc::UnboundedSender<Happening>,
     /// How long sends may go on to a server once it is told that it drains.
     pub drain_grace: Duration,
+    /// Spreads its calls.
+    pub rng: Rand64,
 }
 
 /// A watch that is open; it is closed when this is dropped.
@@ -236,8 +240,10 @@
             let Err(end) = self.follow(opened).await;
             log::line(format!("discovery: {end}; watching again"));
             // A watch that told something was in order; others back off, so as not to storm a discovery in need.
-            wait = if self.seq == before { (wait * 2).min(self.pace()) } else { BACK_OFF };
-            sleep(wait).await;
+            // One that fell silent has taken its time already.
+            let silent = matches!(end, End::Silent);
+            wait = if self.seq == before && !silent { (wait * 2).min(self.pace()) } else { BACK_OFF };
+            sleep(self.jittered(wait)).await;
         }
     }
 
@@ -262,13 +268,18 @@
         let _ = self.news.send(Happening::DiscoveryFailed { watch: self.number, seq: self.seq });
     }
 
-    /// How often discovery is tried while it does not answer.
+    /// How often discovery is tried at least while it does not answer.
     fn pace(&self) -> Duration {
         self.drain_grace.mul_f64(PACE_SHARE).clamp(PACE[0], PACE[1])
     }
 
+    /// A wait drawn from nothing up to this one.
+    fn jittered(&mut self, longest: Duration) -> Duration {
+        longest.mul_f64(self.rng.rand_float())
+    }
+
     /// Opens a watch, whatever it takes.
-    async fn open(&self) -> Opened {
+    async fn open(&mut self) -> Opened {
         let mut calls = JoinSet::new();
         let mut hanging = VecDeque::new();
         let mut logged = false;
@@ -279,7 +290,8 @@
             {
                 oldest.abort();
             }
-            let next = sleep(self.pace());
+            let longest = self.pace();
+            let next = sleep(self.jittered(longest));
             tokio::pin!(next);
             loop {
                 tokio::select! {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -7,7 +7,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use common::{Stage, listing};
@@ -203,3 +203,34 @@
     }
     assert!(began.elapsed() < FOREVER);
 }
+
+/// A discovery that takes calls and never answers; when they came.
+fn hanging() -> (SocketAddr, Arc<Mutex<Vec<Instant>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let kept = calls.clone();
+    std::thread::spawn(move || {
+        let mut held = Vec::new();
+        for stream in listener.incoming().flatten() {
+            kept.lock().unwrap().push(Instant::now());
+            held.push(stream);
+        }
+    });
+    (address, calls)
+}
+
+/// In step, all watches of a fleet that end in one moment come back in one, again and again.
+#[test]
+fn calls_to_a_discovery_that_hangs_keep_no_step() {
+    let upstream = Upstream::new(|_| loopback::Deed::ok("served"));
+    let (address, calls) = hanging();
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", address, &ready(&[&upstream]), 1024, SETTINGS));
+    until("it has called often", || calls.lock().unwrap().len() > 16);
+    drop(sidecar);
+    let calls = calls.lock().unwrap().clone();
+    let gaps: Vec<Duration> = calls.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    // A quarter of the drain grace is the longest.
+    let short = gaps.iter().filter(|gap| **gap < Duration::from_millis(250)).count();
+    assert!(short >= 3 && gaps.len() - short >= 3, "{gaps:?}");
+}
