Let the oldest call to discovery hang for as long as a call may take

Cause: Watch::open gave up the oldest of eight calls for the next. With a drain grace of 100 ms calls follow each other every 50 ms, so that none was waited for longer than 400 ms: a discovery slower than that was never heard.

Change: the oldest stays for 2.5 s, the time of any call; until then the second oldest makes room.

Ruled out: more calls at a time (descriptors), a slower pace (silent calls must be followed soon).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -35,7 +35,8 @@
 const PACE_SHARE: f64 = 0.25;
 /// The pace is no faster, so that trying costs little, and no slower, so that some tries fit into 6 s.
 const PACE: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(500)];
-/// So many calls may hang at a time. The oldest makes room for the next.
+/// So many calls may hang at a time. The oldest makes room for the next, but no sooner than a call may take: a
+/// discovery that is slower than a few of these waits must be heard as well.
 const HANGING: usize = 8;
 /// A whole list with an entry that cannot be read is fetched again after this long, as it may stay so.
 const FETCH_AGAIN: Duration = Duration::from_millis(2_000);
@@ -284,11 +285,12 @@
         let mut hanging = VecDeque::new();
         let mut logged = false;
         loop {
-            hanging.push_back(calls.spawn(call(self.address, self.seq)));
-            if hanging.len() > HANGING
-                && let Some(oldest) = hanging.pop_front()
-            {
-                oldest.abort();
+            hanging.push_back((Instant::now(), calls.spawn(call(self.address, self.seq))));
+            if hanging.len() > HANGING {
+                let young = hanging.front().is_some_and(|(since, _)| since.elapsed() < CALL);
+                if let Some((_, given_up)) = hanging.remove(usize::from(young)) {
+                    given_up.abort();
+                }
             }
             let longest = self.pace();
             let next = sleep(self.jittered(longest));
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -234,3 +234,28 @@
     let short = gaps.iter().filter(|gap| **gap < Duration::from_millis(250)).count();
     assert!(short >= 3 && gaps.len() - short >= 3, "{gaps:?}");
 }
+
+/// Where sends must stop soon after a drain is told, calls follow each other fast; a discovery that takes longer to
+/// answer than some of them has to be heard all the same.
+#[test]
+fn a_discovery_that_is_slower_than_the_pace_is_heard() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| loopback::Deed::ok("served")));
+    let news = list(9, true, &[entry("b", b.address, "ready")]);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let news = news.clone();
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(1_200));
+                answer(stream, None, &news, &AtomicUsize::new(0));
+            });
+        }
+    });
+    let settings = SETTINGS.replace(r#""drain_grace":2000.0"#, r#""drain_grace":100.0"#);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", address, &ready(&[&a]), 1024, &settings));
+    let began = Instant::now();
+    let mut client = loopback::Client::to(sidecar.address);
+    until("it serves", || client.ask("fetch").status() == 200 && !b.requests().is_empty());
+    assert!(began.elapsed() < Duration::from_millis(TOLD as u64), "{:?}", began.elapsed());
+}
