Keep the call that SIGHUP began when the module asks as well

Cause: where lists are asked for, a wait of the module that came due after SIGHUP replaced the watch that is called for until it is answered (Driver::act, Action::Subscribe) by one call that is given up only after 2.5 s.

Change: while that watch has told nothing, the module's wish is met already, and nothing is done.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use oorandom::Rand64;
 use sagemast::Balancer;
 use sagemast::api::*;
 use sagemast::settings::{Column, Config as SettingsObject, report_from_text};
@@ -142,6 +143,10 @@
     watch: Option<AbortOnDrop>,
     /// The number of the present watch.
     watches: u64,
+    /// Whether it is called for until discovery answers, as after SIGHUP, and has not told anything yet.
+    moving: bool,
+    /// Spreads calls to discovery.
+    rng: Rand64,
     epoch: Instant,
     open: HashMap<RequestId, Open>,
     /// The ids that clients gave the open requests.
@@ -183,6 +188,9 @@
             seq: 0,
             watch: None,
             watches: 0,
+            moving: false,
+            // Any seed of its own will do, so long as it differs between sidecars.
+            rng: Rand64::new(u128::from(!seed)),
             epoch: Instant::now(),
             open: HashMap::new(),
             ids: HashSet::new(),
@@ -226,7 +234,9 @@
         self.watches += 1;
         let (address, number, news) = (self.discovery, self.watches, self.happenings.clone());
         let drain_grace = Duration::from_secs_f64(self.settings.drain_grace_ms() / 1e3);
-        let watch = Watch { address, number, seq: self.seq, news, drain_grace };
+        let rng = Rand64::new(u128::from(self.rng.rand_u64()));
+        let watch = Watch { address, number, seq: self.seq, news, drain_grace, rng };
+        self.moving = moved;
         self.watch = Some(AbortOnDrop(if self.subscribed {
             tokio::spawn(watch.ask(moved))
         } else {
@@ -313,6 +323,7 @@
             Happening::Listed { watch, list } if watch == self.watches => self.listed(&list, false),
             Happening::DiscoveryFailed { watch, seq } if watch == self.watches => {
                 self.seq = seq;
+                self.moving = false;
                 self.event(Event::Listed(ListNews::Unavailable));
             }
             // Of a watch that another has taken the place of.
@@ -397,6 +408,8 @@
                 let at = self.epoch.checked_add(after).unwrap_or_else(Instant::now);
                 self.set_timer(at, Timer::Wake(token));
             }
+            // A call that is made until it is answered needs no other beside it, which might hang and be given up.
+            Action::Subscribe if self.moving => {}
             Action::Subscribe => self.watch(false),
             Action::Log(text) => log::line(text),
         }
@@ -595,6 +608,7 @@
 
     fn listed(&mut self, list: &HostList, restored: bool) {
         self.seq = list.seq;
+        self.moving = false;
         let whole = list.whole || restored;
         let now = self.millis(Instant::now());
         let listings = self.servers.take(list, whole, &self.settings, now);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -259,3 +259,26 @@
     until("it serves", || client.ask("fetch").status() == 200 && !b.requests().is_empty());
     assert!(began.elapsed() < Duration::from_millis(TOLD as u64), "{:?}", began.elapsed());
 }
+
+/// The module asks often while the old address refuses. What it asks for after SIGHUP is asked for already, until an
+/// answer comes: another call in its place would be given up only after 2.5 s.
+#[test]
+fn what_the_module_asks_for_does_not_replace_the_call_after_sighup() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| loopback::Deed::ok("served")));
+    let news = list(9, true, &[entry("b", b.address, "ready")]);
+    let settings = SETTINGS.replace("automatic", "subscribe");
+    let old = Recovering::new(Need::Refuses, news.clone());
+    let new = Recovering::new(Need::Hangs, news);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", old.address, &ready(&[&a]), 1024, &settings));
+    sidecar.wait_up();
+    std::thread::sleep(Duration::from_millis(1_000));
+    sidecar.reload(&config("127.0.0.1:0", new.address, "null", 1024, &settings));
+    // By then the module has asked again.
+    std::thread::sleep(Duration::from_millis(900));
+    new.serves.store(true, Ordering::SeqCst);
+    let began = Instant::now();
+    until("it is told", || new.served.load(Ordering::SeqCst) > 0);
+    assert!(began.elapsed() < Duration::from_millis(1_300), "{:?}", began.elapsed());
+    let mut client = loopback::Client::to(sidecar.address);
+    until("it serves", || client.ask("fetch").status() == 200 && !b.requests().is_empty());
+}
