Test: a sidecar tries crowded servers again once what it heard is old

The standing test asks that no sidecar turns away all for 4 s on end with no attempt in between. Where no report comes the module keeps it: a report says nothing after 1 s (src/brain.rs, in_flight), and then a server counts as idle. This held; the test was seen to fail with old reports believed for good.

--- a/tests/health.rs
+++ b/tests/health.rs
@@ -376,6 +376,33 @@
     assert!(sent_to(&stage.arrive(REPEATABLE).1).is_some(), "both are empty");
 }
 
+/// Guards against turning all away for seconds on end: what was heard of crowded servers says nothing after a second,
+/// and then one of them is asked.
+#[test]
+fn crowded_servers_are_tried_again_once_that_news_is_old() {
+    let ids: Vec<u64> = (1..=12).collect();
+    for gap in [20.0, 50.0, 200.0] {
+        let mut stage = Stage::new(settings(), ids.iter().map(|id| listing(*id)).collect());
+        stage.settle(&ids, 4.0, 0.5);
+        ids.iter().for_each(|id| stage.report(*id, 60.0, 1.0));
+        let (mut last, mut turned_away, end) = (stage.now, 0, stage.now + 20_000.0);
+        while stage.now < end {
+            stage.now += gap;
+            let (request, actions) = stage.arrive(REPEATABLE);
+            let (mut to, mut attempt) = (sent_to(&actions), 0);
+            turned_away += usize::from(to.is_none());
+            // Nobody answers probes, and whoever is asked is full.
+            while let Some(upstream) = to {
+                last = stage.now;
+                let actions = stage.finish(request, attempt, upstream, Outcome::Full, 5.0);
+                (to, attempt) = (sent_to(&actions), attempt + 1);
+            }
+            assert!(stage.now - last < 4_000.0, "one request every {gap} ms");
+        }
+        assert!(turned_away > 0, "they were crowded at first");
+    }
+}
+
 /// Guards against branding a server for one heavy request: its time-out once set the slowness to all it could mean, and
 /// a few of them together shut the whole fleet.
 #[test]
