--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,15 +73,15 @@
 const KINDS: usize = 64;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
 const ASK_OVER: f64 = 0.25;
-/// The longest wait before it is asked again. What changes counts as told 6 s after discovery had it and could be
-/// reached: a call that hangs takes up to 2.5 s of that, one refused after it a second wait, and 0.5 s are kept.
+/// The longest wait before it is asked again. A change counts as told 6 s after discovery could be reached: a
+/// call that hangs takes up to 2.5 s of that, one refused after it a second wait, and 0.5 s are kept.
 const ASK_WITHIN: Millis = 1_500.0;
 
 /// The decision module of one sidecar. The same seed, settings and events give the same actions.
 #[derive(Debug)]
 pub struct Balancer {
     pub(crate) settings: Settings,
-    rng: Rand64,
+    pub(crate) rng: Rand64,
     pub(crate) now: Millis,
     requests: BTreeMap<RequestId, Held>,
     pub(crate) roster: Roster,
@@ -294,8 +294,8 @@
     // --- The draw ----------------------------------------------------------------------------
 
     /// Two random servers among those with room, near ones first; the smaller projected utilisation wins.
-    /// Whether any had room comes first: it may be that only cold ones did that must not be sent more. Servers
-    /// are looked at in random order, until two are found: a request costs no more than it has to look at.
+    /// Whether any had room comes first: it may be that only cold ones did that must not be sent more.
+    /// Servers are looked at in random order, until two are found: the others cost nothing.
     pub(crate) fn draw(&mut self, held: &Held, out: &mut Vec<Action>) -> (bool, bool, Pair) {
         let (mut ids, near) = self.reachable(held);
         let mut view = self.view(held);
@@ -323,30 +323,6 @@
         (room, ids.len() > 1, pair)
     }
 
-    /// The first two that are taken of these, in random order; the one there is, twice, where there is only one.
-    fn first_two(&mut self, ids: &mut [UpstreamId], held: &Held, view: &mut View, near: bool) -> Pair {
-        view.met.clear();
-        let mut first = None;
-        for at in 0..ids.len() {
-            ids.swap(at, self.rng.rand_range(at as u64..ids.len() as u64) as usize);
-            let Some(candidate) = self.candidate(ids[at], held, view) else { continue };
-            view.met.push(candidate);
-            let takes = view.takes(&candidate) && (!near || view.is_near(&candidate));
-            if takes && let Some(first) = first.replace(candidate) {
-                return Some([first, candidate]);
-            }
-        }
-        first.map(|only| [only, only])
-    }
-
-    /// A random pair of distinct members; the one there is, twice, where there is only one.
-    fn pair(&mut self, open: &[Candidate]) -> Pair {
-        let count = (open.len() as u64).checked_sub(1)? + 1;
-        let first = self.rng.rand_range(0..count);
-        let step = if count > 1 { self.rng.rand_range(1..count) } else { 0 };
-        Some([first, (first + step) % count].map(|at| open[at as usize]))
-    }
-
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
         let Some(upstream) = self.roster.upstreams.get_mut(&id) else { return };
         let waiting = upstream.probe_sent.is_some_and(|sent| self.now - sent < STALE);
@@ -491,11 +467,11 @@
         let Some(in_flight) = report.in_flight.filter(|m| m.is_finite() && *m >= 0.0) else { return };
         let (now, seen) = (self.now, &mut self.seen);
         self.roster.change(id, now, |upstream| {
-            // Utilisation is a running mean while in-flight is of the moment: only means of both may be divided.
+            // Utilisation is a running mean, in-flight is of the moment: only means of both may be divided.
             let weight_over = |time: Millis| 1.0 - (-(now - upstream.reported_at) / time).exp();
             let (weight, others_weight) = (weight_over(MEANS_OVER), weight_over(OTHERS_OVER));
-            // A report tells of a moment that may be seconds ago, not of which: what we have out now is not in
-            // it, nor is it in our hands to say since when. Over several, reports show what others have besides.
+            // A report tells of a moment that may be seconds ago, not of which: what we have out now is not
+            // in it, nor is it in our hands to say since when. Over several, they show what others have.
             let others = in_flight - upstream.outstanding.len() as f64;
             upstream.others += others_weight.max(least) * (others - upstream.others);
             upstream.reported_at = now;
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -106,6 +106,36 @@
         Some((wanted.max(covered).max(FEWEST) / serving, rank)).filter(|(share, _)| *share < 1.0)
     }
 
+    /// The first two that are taken of these, in random order; the one there is, twice, where there is only one.
+    pub(crate) fn first_two(
+        &mut self,
+        ids: &mut [UpstreamId],
+        held: &Held,
+        view: &mut View,
+        near: bool,
+    ) -> Pair {
+        view.met.clear();
+        let mut first = None;
+        for at in 0..ids.len() {
+            ids.swap(at, self.rng.rand_range(at as u64..ids.len() as u64) as usize);
+            let Some(candidate) = self.candidate(ids[at], held, view) else { continue };
+            view.met.push(candidate);
+            let takes = view.takes(&candidate) && (!near || view.is_near(&candidate));
+            if takes && let Some(first) = first.replace(candidate) {
+                return Some([first, candidate]);
+            }
+        }
+        first.map(|only| [only, only])
+    }
+
+    /// A random pair of distinct members; the one there is, twice, where there is only one.
+    pub(crate) fn pair(&mut self, open: &[Candidate]) -> Pair {
+        let count = (open.len() as u64).checked_sub(1)? + 1;
+        let first = self.rng.rand_range(0..count);
+        let step = if count > 1 { self.rng.rand_range(1..count) } else { 0 };
+        Some([first, (first + step) % count].map(|at| open[at as usize]))
+    }
+
     /// The share of a warm server's capacity that falls to this sidecar, in requests a second: what it is
     /// answered by a server is its part of what they do, and their reports tell which part that is of all they
     /// could. Without any, and before them, they are taken to do all they can.
