Count a sidecar's connections and probes in the bench of slopes

Cause: what a ticket server bears of all sidecars was not measured at all. Change: network/connections and network/probes, as the stand-in servers see them after paced calls.

--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -33,6 +33,7 @@
 
 /// Measures what the sidecar costs at 10 to 4,600 listed servers. The whole takes under 4 minutes, --quick under 1.
 #[derive(Parser)]
+#[command(bin_name = "cargo bench --bench slopes --")]
 struct Args {
     /// Fewer and shorter runs: under 1 minute
     #[arg(long)]
--- a/benches/slopes/network.rs
+++ b/benches/slopes/network.rs
@@ -42,6 +42,8 @@
 const CHANGE_BYTES: &str = "network/change-bytes";
 const CHANGE_CPU: &str = "network/change-cpu";
 const CHANGE_TIME: &str = "network/change-in-force";
+const CONNECTIONS: &str = "network/connections";
+const PROBES: &str = "network/probes";
 const MEMORY_LIST: &str = "network/memory-list";
 const MEMORY_CALLS: &str = "network/memory-calls";
 const MEMORY_END: &str = "network/memory-end";
@@ -56,6 +58,8 @@
     CALL_TIME,
     CALL_DIRECT,
     CALL_CPU,
+    CONNECTIONS,
+    PROBES,
     CHANGE_BYTES,
     CHANGE_CPU,
     CHANGE_TIME,
@@ -81,10 +85,13 @@
     agent: Arc<Agent>,
 }
 
-/// What discovery holds and has said.
+/// What discovery holds and has said, and what ticket servers have seen.
 struct Agent {
     seq: AtomicU64,
     bytes: AtomicU64,
+    /// Connections that ticket servers have now, and probes that they have answered.
+    connections: AtomicU64,
+    probes: AtomicU64,
     first: Mutex<String>,
     watches: Mutex<Vec<mpsc::UnboundedSender<Arc<str>>>>,
 }
@@ -100,6 +107,8 @@
         let agent = Arc::new(Agent {
             seq: AtomicU64::new(FIRST_SEQ),
             bytes: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
+            probes: AtomicU64::new(0),
             first: Mutex::new(String::new()),
             watches: Mutex::new(Vec::new()),
         });
@@ -169,7 +178,13 @@
         stream.set_nodelay(true)?;
         let agent = agent.clone();
         tokio::spawn(async move {
-            if name.is_empty() { agent.watched(stream).await } else { serve(stream, name).await }
+            if name.is_empty() {
+                return agent.watched(stream).await;
+            }
+            agent.connections.fetch_add(1, Ordering::SeqCst);
+            let end = serve(stream, name, &agent).await;
+            agent.connections.fetch_sub(1, Ordering::SeqCst);
+            end
         });
     }
 }
@@ -186,7 +201,7 @@
 }
 
 /// A ticket server's connection: answers at once with its name and a report.
-async fn serve(mut stream: tokio::net::TcpStream, name: &str) -> Result<()> {
+async fn serve(mut stream: tokio::net::TcpStream, name: &str, agent: &Agent) -> Result<()> {
     let mut buffer = Vec::new();
     let load = "TEXT inflight=2, eps=0, util=0.4";
     let answer = |body: &str| {
@@ -194,7 +209,9 @@
     };
     loop {
         let head = head(&mut stream, &mut buffer).await?;
-        let body = if head.starts_with("GET /metrics/load ") { load } else { name };
+        let probe = head.starts_with("GET /metrics/load ");
+        agent.probes.fetch_add(u64::from(probe), Ordering::SeqCst);
+        let body = if probe { load } else { name };
         stream.write_all(answer(body).as_bytes()).await?;
     }
 }
@@ -409,13 +426,22 @@
     let idle = sidecar.cpu()?;
     add(single(MEMORY_LIST, "KiB", sidecar.memory("VmRSS")?));
     let mut client = Client::to(sidecar.address)?;
-    if [CALL_TIME, CALL_DIRECT, CALL_CPU, MEMORY_CALLS].iter().any(|name| plan.wants(name)) {
+    if [CALL_TIME, CALL_DIRECT, CALL_CPU, CONNECTIONS, PROBES, MEMORY_CALLS]
+        .iter()
+        .any(|name| plan.wants(name))
+    {
         let mut direct = Client::to(stage.far)?;
         paced(plan.calls_s[0], &mut client, &mut direct)?;
         let before = sidecar.cpu()?.max(idle);
+        let probes = || stage.agent.probes.load(Ordering::SeqCst) as f64;
+        let probes_before = probes();
         let (through, without) = paced(plan.calls_s[1], &mut client, &mut direct)?;
         let calls = (plan.calls_s[1] * MEAN_RATE).floor();
         add(single(CALL_CPU, "us", (sidecar.cpu()? - before) / calls));
+        // The client's own, which goes past the sidecar, does not count.
+        let connections = stage.agent.connections.load(Ordering::SeqCst).saturating_sub(1);
+        add(single(CONNECTIONS, "open", connections as f64));
+        add(single(PROBES, "/s", (probes() - probes_before) / plan.calls_s[1]));
         add(single(MEMORY_CALLS, "KiB", sidecar.memory("VmRSS")?));
         for (name, times) in [(CALL_TIME, through), (CALL_DIRECT, without)] {
             times.run(name, size).into_iter().for_each(&mut add);
