--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -44,7 +44,10 @@
     /// Also write every run's figures to this file
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
-    /// Names what can be measured and ends
+    /// Print one Markdown table instead, as in docs/CAPACITY.md
+    #[arg(long)]
+    markdown: bool,
+    /// Name what can be measured and end
     #[arg(long)]
     list: bool,
     /// What cargo passes to every bench
@@ -151,8 +154,12 @@
         "revision {}, {}, {} cores, load {:.1} to {:.1}, {} s",
         record.revision, record.date, record.cores, loads[0], loads[1], record.seconds
     );
-    println!("min, median and max over runs; p99 is the median run's 99th percentile\n");
-    tables.iter().for_each(stats::print);
+    if args.markdown {
+        stats::print_markdown(&tables, &SIZES);
+    } else {
+        println!("min, median and max over runs; p99 is the median run's 99th percentile\n");
+        tables.iter().for_each(stats::print);
+    }
     if let Some(path) = args.json {
         // Cargo runs benches in the package's folder; the file is written there unless its path is absolute.
         std::fs::write(&path, serde_json::to_string_pretty(&record)?)
--- a/benches/slopes/stats.rs
+++ b/benches/slopes/stats.rs
@@ -226,6 +226,29 @@
     println!();
 }
 
+/// Prints all medians as one table; at the last size with the smallest and the largest run and the 99th percentile.
+pub fn print_markdown(tables: &[Table], sizes: &[Size]) {
+    let heads: String = sizes.iter().map(|size| format!(" {} |", size.servers)).collect();
+    println!("\n| measurement | unit |{heads} min to max | p99 | k | k, last two | per 1,000 |");
+    println!("|{}", " --- |".repeat(sizes.len() + 7));
+    for table in tables {
+        let medians: String = table.rows.iter().map(|row| format!(" {} |", number(row.median))).collect();
+        let Some(last) = table.rows.last() else { continue };
+        let tail = last.p99.map_or_else(|| "-".to_owned(), number);
+        let k = |k: Option<f64>| k.map_or_else(|| "-".to_owned(), |k| format!("{k:.2}"));
+        let slopes = table.slope.map_or_else(String::new, |slope| {
+            format!(" {} | {} | {} |", k(slope.k), k(slope.k_last), number(slope.per_1000))
+        });
+        println!(
+            "| `{}` | {} |{medians} {} to {} | {tail} |{slopes}",
+            table.name,
+            table.unit,
+            number(last.min),
+            number(last.max)
+        );
+    }
+}
+
 /// Four digits that tell something.
 fn number(value: f64) -> String {
     match value.abs() {
