Let calls rest before the bench of slopes tells a change

Cause: calls 2 ms apart meet the program's wait of 15 ms for a quiet connection (QUIET, src/net/upstream.rs): half of the changes at small sizes seemed to take 19 ms to be in force. Change: 30 ms without calls before each change that is timed. Seen in a probe of single calls: a call to a server that has just answered took 13.6 to 18.2 ms, all others 0.25 to 0.84 ms.

--- a/benches/slopes/network.rs
+++ b/benches/slopes/network.rs
@@ -26,6 +26,9 @@
 const FOREVER: Duration = Duration::from_secs(20);
 /// How often it is tried whether a change is in force.
 const TRY_EVERY: Duration = Duration::from_millis(2);
+/// Before that calls rest for so long: on a connection that has just carried an answer the program lets the next
+/// one wait, which would be taken for the change.
+const REST: Duration = Duration::from_millis(30);
 /// As long as nothing changes, discovery says an empty line this often.
 const ALIVE_EVERY: Duration = Duration::from_secs(2);
 /// The version of the list that the program is told at its start.
@@ -492,6 +495,7 @@
 
 /// Tells a change and calls until an answer shows that it counts.
 fn in_force(stage: &Stage, whole: bool, near: &str, client: &mut Client) -> Result<Duration> {
+    std::thread::sleep(REST);
     let start = Instant::now();
     stage.tell(whole, near);
     while client.call()? != (near == "ready") {
