The hollow bench also runs 300 real sidecars that watch one stand-in for discovery

Cause: the waits of src/net/discovery.rs (BACK_OFF, the pace, HANGING) have no jitter, as README says; what a fleet's calls look like at discovery had not been measured.

Change: benches/hollow/processes.rs starts the real program, one process each, on loopback, against a stand-in for discovery, with lists pushed and asked for. When a change is in force is seen from outside: a sidecar closes its idle connection to a server that it is told drains. Processor time from /proc/PID/schedstat, memory from /proc/PID/status, bytes as the stand-in writes them. All watches at once are left silent, reset, left silent again, and reset or left silent while discovery is down for 5 s; a change comes in the midst of each. The tables keep the place of a figure that only some plays have.

Nothing in src/ is changed.

--- a/benches/hollow/main.rs
+++ b/benches/hollow/main.rs
@@ -1,6 +1,7 @@
-//! Hollow processes: thousands of modules in one process, on a virtual clock.
+//! Hollow processes: thousands of modules on a virtual clock, and hundreds of real sidecars that only watch.
 
 mod figures;
+mod processes;
 mod stage;
 
 use std::time::Instant;
@@ -40,6 +41,12 @@
     /// Where the module asks for lists: it must do so at least this often, in milliseconds.
     #[arg(long, default_value_t = 2_000.0)]
     must_ask_in: f64,
+    /// Real sidecars, one process each.
+    #[arg(long, default_value_t = 300)]
+    processes: usize,
+    /// Servers that each of them lists.
+    #[arg(long, default_value_t = 53)]
+    listed: usize,
     /// For all that is drawn.
     #[arg(long, default_value_t = 7)]
     seed: u64,
@@ -151,9 +158,24 @@
         print!("{:62}", "");
         some.iter().for_each(|report| print!(" {:>width$}", shorten(&report.name, width)));
         println!();
-        for (name, _) in &some[0].figures {
+        // A figure that one play has and another has not keeps its place.
+        let mut names: Vec<&str> = Vec::new();
+        for report in some {
+            let mut place = 0;
+            for (name, _) in &report.figures {
+                place = names.iter().position(|known| known == name).unwrap_or_else(|| {
+                    names.insert(place, name);
+                    place
+                }) + 1;
+            }
+        }
+        for name in names {
             print!("{name:62}");
-            some.iter().for_each(|report| print!(" {:>width$}", report.get(name)));
+            for report in some {
+                let value = report.get(name);
+                let shown = if value.is_nan() { "-".to_owned() } else { value.to_string() };
+                print!(" {shown:>width$}");
+            }
             println!();
         }
         println!();
@@ -173,7 +195,17 @@
         eprintln!("{}: {:.1} s", report.name, began.elapsed().as_secs_f64());
         reports.push(report);
     }
-    table(&reports.iter().collect::<Vec<_>>());
+    for (name, asked) in [("processes, pushed", false), ("processes, asked", true)] {
+        if name.contains(&args.only) {
+            let began = Instant::now();
+            reports.push(processes::play(name, args.processes, args.listed, asked)?);
+            eprintln!("{name}: {:.1} s", began.elapsed().as_secs_f64());
+        }
+    }
+    let (real, hollow): (Vec<&Report>, Vec<&Report>) =
+        reports.iter().partition(|report| report.name.starts_with("processes"));
+    table(&hollow);
+    table(&real);
     if let Some(path) = &args.json {
         let all: Vec<serde_json::Value> = reports.iter().map(Report::json).collect();
         std::fs::write(path, serde_json::to_string_pretty(&all).map_err(std::io::Error::other)?)?;
