The budget of descriptors holds at the worst moment, and a lower real limit is lived with

Seen: with all clients and servers busy and discovery hanging the process held 69 descriptors of 64 and 260 of 256 (it_holds_no_more_descriptors_than_64, _256, on the code before). With a real limit under the configured one attempts ended in "cannot connect: Too many open files" and the server was blamed for it (no_server_is_blamed_for_a_lack_of_descriptors, on the code before).

Cause: client.rs `serve` took CLOSING = 8 connections beyond those that config.rs `Limits::connections` had counted. After EMFILE, `serve` closed one idle client at a time and took the next at once, and nobody else who met it said so: discovery.rs `call`, upstream.rs `Connection::open` (Outcome::Unreachable) and main.rs `read_again`.

Change: the eight come out of the clients' half. src/net/descriptors.rs holds the budget, in a table. Whoever finds no descriptor says so: what is held then is taken for the limit, idle clients and idle connections to servers are closed down to what it allows, and who lacked one tries again within its own time. An attempt that gets none by then was not sent; its server is not at fault.

Ruled out: that discovery starved.

--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
 
 use net::client::{self, Front, Names, Phase};
 use net::config::Config;
+use net::descriptors::{Descriptors, is_lack};
 use net::driver::{Driver, Happening};
 use net::log;
 
@@ -60,16 +61,17 @@
     let (phase, phases) = watch::channel(Phase::Open);
     let (happenings, inbox) = mpsc::unbounded_channel();
     // Until the end of the program: who is told of a drain must keep it to the last request.
-    tokio::spawn(reload(hangup, address, happenings.clone()));
+    let descriptors = Arc::new(Descriptors::new(config.limits.connections()));
+    tokio::spawn(reload(hangup, address, happenings.clone(), descriptors.clone()));
     let at_last = happenings.clone();
     let seed = config.seed();
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
     let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
     let front = Arc::new(Front::new(names, phases, happenings));
-    let each = config.limits.connections();
-    let driver = Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, each);
+    let driver =
+        Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, descriptors.clone());
     let mut driver = tokio::spawn(driver.run(config.known));
-    let mut serving = tokio::spawn(client::serve(listener, front, each));
+    let mut serving = tokio::spawn(client::serve(listener, front, descriptors));
 
     tokio::select! {
         _ = terminate.recv() => log::line("SIGTERM: finishing what is held"),
@@ -91,11 +93,19 @@
 }
 
 /// Waits for SIGHUP and then reads the configuration until it is sound. Meanwhile the old one stays.
-async fn reload(mut hangup: Signal, listening: SocketAddr, happenings: mpsc::UnboundedSender<Happening>) {
+async fn reload(
+    mut hangup: Signal,
+    listening: SocketAddr,
+    happenings: mpsc::UnboundedSender<Happening>,
+    descriptors: Arc<Descriptors>,
+) {
     while hangup.recv().await.is_some() {
         let mut wait = READ_AGAIN[0];
         let mut told = false;
         while let Err(error) = read_again(listening, &happenings) {
+            if error.chain().filter_map(|cause| cause.downcast_ref()).any(is_lack) {
+                descriptors.lack();
+            }
             if !std::mem::replace(&mut told, true) {
                 log::line(format!("SIGHUP: the old configuration stays: {error:#}"));
             }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -23,6 +23,7 @@
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::descriptors::{Descriptors, is_lack};
 use super::driver::Happening;
 use super::inbound::Inbound;
 use super::log;
@@ -43,7 +44,7 @@
 /// A connection is not closed for a newcomer before it has had no request open for this long: its last answer
 /// is on its way to the client, or its first request to the sidecar.
 const SETTLED: Duration = Duration::from_millis(100);
-/// So many connections more may be closing to make room for others.
+/// So many of the connections that there may be are kept for newcomers while others close to make room for them.
 const CLOSING: usize = 8;
 /// Ids of requests are no longer than this; they are kept while the request is open.
 const ID_BYTES: usize = 256;
@@ -190,20 +191,33 @@
         slot.make_room.notify_one();
         true
     }
+
+    /// The same until so many are left that were not told to make room, as far as may be.
+    fn make_room_down_to(&mut self, count: usize) {
+        while self.by_task.len() > count && self.make_room() {}
+    }
 }
 
 /// Accepts clients until the end: when it is closing, none is open and none waits to be accepted. A client that
 /// comes when there are as many connections as may be takes the place of one that has no request open.
-pub async fn serve(listener: TcpListener, front: Arc<Front>, max_connections: usize) {
+pub async fn serve(listener: TcpListener, front: Arc<Front>, descriptors: Arc<Descriptors>) {
     let mut phase = front.phase.clone();
     let mut slots = Slots { epoch: Instant::now(), by_task: HashMap::new() };
     let mut connections = JoinSet::new();
     loop {
         let closing = *phase.borrow_and_update() == Phase::Closing;
-        let room = connections.len() < max_connections + CLOSING;
+        let room = connections.len() < descriptors.each();
         tokio::select! {
             biased;
             Some(ended) = connections.join_next_with_id() => forget(&mut slots, ended),
+            () = descriptors.lacked() => {
+                if descriptors.shrink(connections.len()) {
+                    let each = descriptors.each();
+                    log::line(format!("out of descriptors: from now on {each} connections on each side"));
+                    let _ = front.happenings.send(Happening::OutOfDescriptors);
+                }
+                slots.make_room_down_to(stay(descriptors.each()));
+            }
             accepted = listener.accept(), if room => match accepted {
                 Ok((stream, _)) => {
                     let free_since = AtomicU64::new(slots.millis());
@@ -211,24 +225,31 @@
                     let (front, kept, epoch) = (front.clone(), slot.clone(), slots.epoch);
                     let task = connections.spawn(async move { connection(stream, &front, &slot, epoch).await });
                     slots.by_task.insert(task.id(), kept);
-                    if connections.len() > max_connections {
-                        slots.make_room();
-                    }
+                    slots.make_room_down_to(stay(descriptors.each()));
                 }
                 Err(error) => {
                     log::line(format!("cannot accept: {error}"));
-                    slots.make_room();
+                    if is_lack(&error) {
+                        descriptors.lack();
+                    } else {
+                        slots.make_room();
+                    }
                     sleep(ACCEPT_BACK_OFF).await;
                 }
             },
             // All are busy, or closing already.
-            () = sleep(ACCEPT_BACK_OFF), if !room => drop(slots.make_room()),
+            () = sleep(ACCEPT_BACK_OFF), if !room => slots.make_room_down_to(stay(descriptors.each())),
             () = std::future::ready(()), if closing && connections.is_empty() => return,
             changed = phase.changed(), if !closing => if changed.is_err() { return },
         }
     }
 }
 
+/// How many of so many connections may stay, as others may be closing; half of them where there are few.
+fn stay(each: usize) -> usize {
+    each.saturating_sub(CLOSING).max(each / 2).max(1)
+}
+
 /// Strikes off a connection that has ended. One that has panicked must not take the others with it.
 fn forget(slots: &mut Slots, ended: Result<(Id, ()), tokio::task::JoinError>) {
     let id = match ended {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -7,6 +7,7 @@
 use sagemast::settings::Config as SettingsObject;
 use serde::Deserialize;
 
+use super::descriptors::OWN;
 use super::discovery::HostList;
 
 /// The configuration file.
@@ -29,8 +30,6 @@
     pub settings: SettingsObject,
 }
 
-/// Descriptors for standard streams, the listener, discovery and the runtime.
-const OWN_SOCKETS: usize = 24;
 /// What a busy connection may hold: its buffer, a body each way, and the same again towards the upstream.
 const CONNECTION_KIB: usize = 256;
 /// Fewer descriptors than this leave no room for connections on both sides.
@@ -57,7 +56,7 @@
     /// How many connections there may be on each side, so that neither descriptors nor memory run out.
     pub fn connections(&self) -> usize {
         let by_memory = self.memory_mb.saturating_mul(1024) / CONNECTION_KIB;
-        (self.sockets.saturating_sub(OWN_SOCKETS) / 2).min(by_memory).max(1)
+        (self.sockets.saturating_sub(OWN) / 2).min(by_memory).max(1)
     }
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context, Result, anyhow, bail};
@@ -12,11 +13,11 @@
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use super::descriptors::Descriptors;
 use super::driver::Happening;
 use super::log;
 
@@ -195,6 +196,8 @@
     pub news: mpsc::UnboundedSender<Happening>,
     /// How long sends may go on to a server once it is told that it drains.
     pub drain_grace: Duration,
+    /// Calls take theirs from there.
+    pub descriptors: Arc<Descriptors>,
 }
 
 /// A watch that is open; it is closed when this is dropped.
@@ -273,7 +276,7 @@
         let mut hanging = VecDeque::new();
         let mut logged = false;
         loop {
-            hanging.push_back(calls.spawn(call(self.address, self.seq)));
+            hanging.push_back(calls.spawn(call(self.address, self.seq, self.descriptors.clone())));
             if hanging.len() > HANGING
                 && let Some(oldest) = hanging.pop_front()
             {
@@ -297,7 +300,9 @@
     }
 
     async fn call_in_time(&self) -> Result<Opened, End> {
-        Ok(timeout(CALL, call(self.address, self.seq)).await.context("no answer in time")??)
+        Ok(timeout(CALL, call(self.address, self.seq, self.descriptors.clone()))
+            .await
+            .context("no answer in time")??)
     }
 
     /// Tells what a watch says until it ends.
@@ -372,8 +377,8 @@
 }
 
 /// Asks for a watch from a version on.
-async fn call(address: SocketAddr, seq: u64) -> Result<Opened> {
-    let stream = TcpStream::connect(address).await.context("cannot connect")?;
+async fn call(address: SocketAddr, seq: u64, descriptors: Arc<Descriptors>) -> Result<Opened> {
+    let stream = descriptors.connect(address, &mut false).await.context("cannot connect")?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = AbortOnDrop(tokio::spawn(async move {
         let _ = connection.await;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -13,14 +13,15 @@
 use sagemast::Balancer;
 use sagemast::api::*;
 use sagemast::settings::{Column, Config as SettingsObject, report_from_text};
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
 use super::client::{Arrival, Final, Forward, Front, end_to_end};
+use super::descriptors::Descriptors;
 use super::discovery::{AbortOnDrop, HostList, Watch};
 use super::log;
 use super::servers::Servers;
-use super::upstream::{Answer, Connection, End, Permits, Source, attempt, probe};
+use super::upstream::{Answer, Connection, End, Source, Unopened, attempt, probe};
 
 /// The module is told this much less than the client waits: its last word must reach the client in time. An
 /// answer takes a fraction of a millisecond to it; the rest is for a turn in which much else is to be done.
@@ -57,7 +58,7 @@
     /// Its client went away.
     ClientLeft(RequestId),
     /// A connection for an attempt came up or did not.
-    Connected(Flight, Result<Box<Connection>, String>),
+    Connected(Flight, Result<Box<Connection>, Unopened>),
     /// An attempt ended.
     Ended {
         /// Which.
@@ -93,6 +94,8 @@
         /// Where discovery is asked from now on.
         discovery: SocketAddr,
     },
+    /// There may be fewer connections than before.
+    OutOfDescriptors,
     /// The program is about to end: what is open is answered now, and what still comes at once.
     Ending,
     /// A call to discovery failed or the watch ended.
@@ -150,7 +153,7 @@
     servers: Servers,
     timers: BTreeMap<(Instant, u64), Timer>,
     next_timer: u64,
-    permits: Permits,
+    descriptors: Arc<Descriptors>,
     probe_time: Duration,
     actions: Vec<Action>,
     /// Whether the program is about to end.
@@ -165,7 +168,7 @@
         discovery: SocketAddr,
         front: Arc<Front>,
         inbox: mpsc::UnboundedReceiver<Happening>,
-        max_connections: usize,
+        descriptors: Arc<Descriptors>,
     ) -> Driver {
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let mut told = settings.settings();
@@ -190,7 +193,7 @@
             servers: Servers::new(unix.map_or(0.0, |since| since.as_secs_f64() * 1e3)),
             timers: BTreeMap::new(),
             next_timer: 0,
-            permits: Arc::new(Semaphore::new(max_connections)),
+            descriptors,
             probe_time: Duration::from_secs_f64(settings.shortest_aim_ms() * PROBE_SHARE / 1e3),
             actions: Vec::new(),
             ending: false,
@@ -226,7 +229,8 @@
         self.watches += 1;
         let (address, number, news) = (self.discovery, self.watches, self.happenings.clone());
         let drain_grace = Duration::from_secs_f64(self.settings.drain_grace_ms() / 1e3);
-        let watch = Watch { address, number, seq: self.seq, news, drain_grace };
+        let descriptors = self.descriptors.clone();
+        let watch = Watch { address, number, seq: self.seq, news, drain_grace, descriptors };
         self.watch = Some(AbortOnDrop(if self.subscribed {
             tokio::spawn(watch.ask(moved))
         } else {
@@ -321,6 +325,7 @@
                 self.discovery = discovery;
                 self.watch(true);
             }
+            Happening::OutOfDescriptors => while self.descriptors.is_over(0) && self.drop_oldest() {},
             Happening::Ending => {
                 self.ending = true;
                 let open: Vec<RequestId> = self.open.keys().copied().collect();
@@ -437,39 +442,41 @@
             sent.give_up = Some(give_up);
         }
         let by = Instant::now() + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
-        let happenings = self.happenings.clone();
+        let (happenings, descriptors) = (self.happenings.clone(), self.descriptors.clone());
         tokio::spawn(async move {
             let result = tokio::select! {
-                result = Connection::open(dial, by.min(flight.until), permit) => result,
-                _ = given_up => Err("given up".to_owned()),
+                result = Connection::open(dial, by.min(flight.until), permit, &descriptors) => result,
+                _ = given_up => Err(Unopened::GivenUp),
             };
             let _ = happenings.send(Happening::Connected(flight, result.map(Box::new)));
         });
     }
 
     /// The right to one more connection; an idle one is closed for it if need be.
-    fn permit(&mut self) -> Option<tokio::sync::OwnedSemaphorePermit> {
-        if let Ok(permit) = self.permits.clone().try_acquire_owned() {
-            return Some(permit);
-        }
-        let pools = self.servers.pools();
-        pools.filter(|pool| pool.oldest().is_some()).min_by_key(|pool| pool.oldest())?.drop_oldest();
-        self.permits.clone().try_acquire_owned().ok()
+    fn permit(&mut self) -> Option<OwnedSemaphorePermit> {
+        while self.descriptors.is_over(1) && self.drop_oldest() {}
+        self.descriptors.permit()
     }
 
-    fn connected(&mut self, flight: Flight, connection: Result<Box<Connection>, String>) {
+    /// Closes the connection that is longest idle. Whether there was one.
+    fn drop_oldest(&mut self) -> bool {
+        let pools = self.servers.pools().filter(|pool| pool.oldest().is_some());
+        let Some(pool) = pools.min_by_key(|pool| pool.oldest()) else { return false };
+        pool.drop_oldest();
+        true
+    }
+
+    fn connected(&mut self, flight: Flight, connection: Result<Box<Connection>, Unopened>) {
         let key = (flight.request, flight.attempt);
         let given_up = self.sent.get(&key).is_none_or(|sent| sent.give_up.is_none());
         let connection = match connection {
             Ok(connection) => *connection,
-            Err(reason) => {
-                if !given_up {
-                    let host = self.servers.get(flight.upstream).map_or("?", |server| &server.host);
-                    log::line(format!("upstream {host}: {reason}"));
-                }
-                let outcome = if given_up { Outcome::NotSent } else { Outcome::Unreachable };
-                return self.ended(flight, End::Outcome(outcome, None));
+            Err(Unopened::Failed(reason)) if !given_up => {
+                let host = self.servers.get(flight.upstream).map_or("?", |server| &server.host);
+                log::line(format!("upstream {host}: {reason}"));
+                return self.ended(flight, End::Outcome(Outcome::Unreachable, None));
             }
+            Err(_) => return self.ended(flight, End::Outcome(Outcome::NotSent, None)),
         };
         // While it connected, its time may have run out, the request may have ended or the upstream may have
         // begun to drain or to live anew: what is not written yet must not be.
@@ -574,7 +581,7 @@
             None => match self.permit() {
                 Some(permit) => {
                     let by = now + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
-                    Source::Dial(dial, by, permit)
+                    Source::Dial(dial, by, permit, self.descriptors.clone())
                 }
                 None => {
                     let _ = self.happenings.send(nothing);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod config;
 pub mod counted;
+pub mod descriptors;
 pub mod discovery;
 pub mod driver;
 pub mod inbound;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -10,12 +10,12 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use sagemast::api::*;
-use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::counted::{Counted, Meter};
+use super::descriptors::Descriptors;
 use super::driver::{Flight, Happening};
 use super::log;
 
@@ -51,19 +51,23 @@
         dial: SocketAddr,
         until: Instant,
         permit: OwnedSemaphorePermit,
-    ) -> Result<Connection, String> {
-        let stream = timeout_at(until, TcpStream::connect(dial))
-            .await
-            .map_err(|_| "connecting took too long".to_owned())?
-            .map_err(|error| format!("cannot connect: {error}"))?;
+        descriptors: &Descriptors,
+    ) -> Result<Connection, Unopened> {
+        let mut lacks = false;
+        let stream = match timeout_at(until, descriptors.connect(dial, &mut lacks)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(Unopened::Failed(format!("cannot connect: {error}"))),
+            Err(_) if lacks => return Err(Unopened::NoDescriptor),
+            Err(_) => return Err(Unopened::Failed("connecting took too long".to_owned())),
+        };
         // Without it the kernel may hold back a small request.
-        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        stream.set_nodelay(true).map_err(|error| Unopened::Failed(error.to_string()))?;
         let (counted, meter) = Counted::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(counted))
             .await
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| Unopened::Failed(error.to_string()))?;
         let task = tokio::spawn(async move {
             // How an exchange failed shows at the exchange.
             let _ = connection.await;
@@ -102,6 +106,16 @@
     }
 }
 
+/// Why there is no connection.
+pub enum Unopened {
+    /// It failed, as this says.
+    Failed(String),
+    /// This process had no descriptor for it: no fault of the upstream's.
+    NoDescriptor,
+    /// It is not wanted any more.
+    GivenUp,
+}
+
 /// An upstream's answer, read whole.
 #[derive(Debug)]
 pub struct Answer {
@@ -283,7 +297,9 @@
 ) {
     let opened = match source {
         Source::Idle(connection) => Ok(*connection),
-        Source::Dial(dial, by, permit) => Connection::open(dial, by.min(until), permit).await,
+        Source::Dial(dial, by, permit, descriptors) => {
+            Connection::open(dial, by.min(until), permit, &descriptors).await
+        }
     };
     let mut answer = None;
     if let Ok(mut connection) = opened {
@@ -314,7 +330,7 @@
     /// One that is open.
     Idle(Box<Connection>),
     /// A new one to this address, by this time.
-    Dial(SocketAddr, Instant, OwnedSemaphorePermit),
+    Dial(SocketAddr, Instant, OwnedSemaphorePermit, Arc<Descriptors>),
 }
 
 /// The idle connections to one upstream, the latest used last.
@@ -360,6 +376,3 @@
         self.idle.clear();
     }
 }
-
-/// A new connection's permit goes with it; shared by all upstreams.
-pub type Permits = Arc<tokio::sync::Semaphore>;
