The lack of descriptors that its test waits for may be found by an attempt, not by an accept

Seen: 2 of 15 repeats failed with "it found none" beside a busy machine; the logs said "out of descriptors: from now on 20 connections on each side" without a "cannot accept" before it.

Cause: no_server_is_blamed_for_a_lack_of_descriptors, tests/descriptors.rs, took the accept's line for the only sign that there was no descriptor. An attempt or a call to discovery that meets it first says nothing of the error itself.

Change: it looks for the line that is written whoever is first. What it asserts of the servers is as before.

--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -305,7 +305,8 @@
     drop(idlers);
     assert_in_order(&mut sidecar);
     let log = sidecar.log.lock().unwrap();
-    assert!(log.iter().any(|line| line.contains("Too many open files")), "it found none: {log:?}");
+    // An accept or an attempt was the first to find none.
+    assert!(log.iter().any(|line| line.contains("out of descriptors")), "it lacked none: {log:?}");
     let blamed = |line: &&String| line.contains("ejected") || line.contains("cannot connect");
     assert_eq!(log.iter().find(blamed), None);
     assert!(served >= 100, "{served} of 300 were served");
