A known list that cannot be read keeps nobody from starting, and without a list it is up after 4 s

Seen: with "known" an empty list, 7, "gone", or without "hosts" the program ended at once ("it listens" waited for in vain, a_broken_known_list_loses_nothing, on the code before), and at SIGHUP such a file kept the old discovery. With no list and discovery down `/up` never said 200: 300 of 300 were not up after 30 s.

Cause: config.rs `Config::known` was decoded with the rest, so that one bad value spoilt all. driver.rs `listed` alone set `front.ready`, and only for a list with entries or a whole one from discovery.

Change: what can be read of `known` is used, the rest is logged, and where something could not be read discovery is asked for the whole list (from=0), as no later change would tell it. After 4 s without a list the process says that it is up and refuses with 503, with Retry-After where allowed.

Ruled out: that 300 starts at once are slow.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,10 +5,11 @@
 
 use anyhow::{Context, Result, bail};
 use sagemast::settings::Config as SettingsObject;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 
 use super::descriptors::OWN;
 use super::discovery::HostList;
+use super::log;
 
 /// The configuration file.
 #[derive(Deserialize)]
@@ -23,8 +24,8 @@
     /// What the surroundings allow this process.
     #[serde(default)]
     pub limits: Limits,
-    /// The list of upstreams as this sidecar last had it.
-    #[serde(default)]
+    /// The list of upstreams as this sidecar last had it. One that cannot be read is none: discovery has the whole.
+    #[serde(default, deserialize_with = "known")]
     pub known: Option<HostList>,
     /// The settings that the module and the wire share.
     pub settings: SettingsObject,
@@ -70,6 +71,30 @@
     1024
 }
 
+/// Reads the list as far as it can be read: without it the program serves all the same, later.
+fn known<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<HostList>, D::Error> {
+    let value = serde_json::Value::deserialize(deserializer)?;
+    let hosts = match (&value, value.get("hosts").and_then(serde_json::Value::as_array)) {
+        (serde_json::Value::Null, _) => return Ok(None),
+        (_, Some(hosts)) => hosts.clone(),
+        (_, None) => {
+            log::line("the known list cannot be read: hosts is missing or no list");
+            return Ok(None);
+        }
+    };
+    // From version 0 on discovery tells all that there is.
+    let seq = value.get("seq").and_then(serde_json::Value::as_u64).unwrap_or_else(|| {
+        log::line("the known list has no version that can be read");
+        0
+    });
+    let mut list = HostList { seq, whole: true, hosts };
+    if list.unread().next().is_some() {
+        // What stands there is in no change that is told later.
+        list.seq = 0;
+    }
+    Ok(Some(list))
+}
+
 impl Config {
     /// Reads and checks the file that the environment names.
     pub fn from_env() -> Result<Config> {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -109,7 +109,7 @@
     }
 
     /// The entries that cannot be read.
-    fn unread(&self) -> impl Iterator<Item = &serde_json::Value> {
+    pub fn unread(&self) -> impl Iterator<Item = &serde_json::Value> {
         self.hosts.iter().filter(|entry| read(entry).is_err())
     }
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -36,6 +36,11 @@
 /// Idle connections are closed after this share of the time that upstreams keep them: one that is written to
 /// just as the upstream closes it ends as a reset.
 const IDLE_SHARE: f64 = 0.7;
+/// A process that has had no list for this long says that it is up and refuses what comes. While it says nothing
+/// its clients wait, and so long a wait would count as a crash; what is refused may be tried again at once. Of
+/// restarted processes nine in ten have to be ready within 6 s on the shortest days: 2 s are left for the start on a
+/// busy machine, and discovery has had the time for eight calls.
+const UP_WITHOUT_LIST: Duration = Duration::from_secs(4);
 /// One attempt on its way.
 #[derive(Debug, Clone, Copy)]
 pub struct Flight {
@@ -129,6 +134,7 @@
     Wake(u64),
     Backstop(RequestId),
     Sweep,
+    UpWithoutList,
 }
 
 /// The driver.
@@ -209,6 +215,7 @@
             self.watch(false);
         }
         self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
+        self.set_timer(self.epoch + UP_WITHOUT_LIST, Timer::UpWithoutList);
         loop {
             let due = self.timers.keys().next().map(|key| key.0);
             tokio::select! {
@@ -257,6 +264,10 @@
             match entry.remove() {
                 Timer::Wake(token) => self.event(Event::Woke(token)),
                 Timer::Backstop(request) => self.backstop(request),
+                Timer::UpWithoutList if !self.front.ready.swap(true, Ordering::Relaxed) => {
+                    log::line("no list of upstreams yet: up without one, and what comes is refused");
+                }
+                Timer::UpWithoutList => {}
                 Timer::Sweep => {
                     let limit = self.idle_limit();
                     self.servers.pools().for_each(|pool| pool.sweep(limit));
