--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context, Result, anyhow, bail};
@@ -13,11 +14,11 @@
 use hyper_util::rt::TokioIo;
 use oorandom::Rand64;
 use serde::Deserialize;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use super::descriptors::Descriptors;
 use super::driver::Happening;
 use super::log;
 
@@ -111,7 +112,7 @@
     }
 
     /// The entries that cannot be read.
-    fn unread(&self) -> impl Iterator<Item = &serde_json::Value> {
+    pub fn unread(&self) -> impl Iterator<Item = &serde_json::Value> {
         self.hosts.iter().filter(|entry| read(entry).is_err())
     }
 
@@ -200,6 +201,8 @@
     pub drain_grace: Duration,
     /// Spreads its calls.
     pub rng: Rand64,
+    /// Calls take theirs from there.
+    pub descriptors: Arc<Descriptors>,
 }
 
 /// A watch that is open; it is closed when this is dropped.
@@ -285,7 +288,8 @@
         let mut hanging = VecDeque::new();
         let mut logged = false;
         loop {
-            hanging.push_back((Instant::now(), calls.spawn(call(self.address, self.seq))));
+            let this = call(self.address, self.seq, self.descriptors.clone());
+            hanging.push_back((Instant::now(), calls.spawn(this)));
             if hanging.len() > HANGING {
                 let young = hanging.front().is_some_and(|(since, _)| since.elapsed() < CALL);
                 if let Some((_, given_up)) = hanging.remove(usize::from(young)) {
@@ -311,7 +315,9 @@
     }
 
     async fn call_in_time(&self) -> Result<Opened, End> {
-        Ok(timeout(CALL, call(self.address, self.seq)).await.context("no answer in time")??)
+        Ok(timeout(CALL, call(self.address, self.seq, self.descriptors.clone()))
+            .await
+            .context("no answer in time")??)
     }
 
     /// Tells what a watch says until it ends.
@@ -386,8 +392,8 @@
 }
 
 /// Asks for a watch from a version on.
-async fn call(address: SocketAddr, seq: u64) -> Result<Opened> {
-    let stream = TcpStream::connect(address).await.context("cannot connect")?;
+async fn call(address: SocketAddr, seq: u64, descriptors: Arc<Descriptors>) -> Result<Opened> {
+    let stream = descriptors.connect(address, &mut false).await.context("cannot connect")?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = AbortOnDrop(tokio::spawn(async move {
         let _ = connection.await;
