--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -9,47 +9,6 @@
 use std::time::{Duration, Instant};
 
 use loopback::*;
-use socket2::SockRef;
-
-/// How a client goes while its request is open.
-#[derive(Debug, Clone, Copy)]
-enum Leaving {
-    Closes,
-    HalfCloses,
-    Resets,
-}
-
-/// All ways to go, each with nothing behind the request and with further bytes behind it: part of another request,
-/// a whole one, and more than is kept of it.
-fn ways_to_leave() -> Vec<(Leaving, String)> {
-    let behind = [String::new(), "GET /fetch?k".to_owned(), request("fetch", 60_000), "x".repeat(100_000)];
-    let ways = [Leaving::Closes, Leaving::HalfCloses, Leaving::Resets];
-    ways.into_iter().flat_map(|way| behind.clone().map(|bytes| (way, bytes))).collect()
-}
-
-/// Writes further bytes and goes. What is given back keeps a half-closed connection open.
-fn leave(mut client: Client, way: Leaving, behind: &str) -> Option<Client> {
-    client.write(behind.as_bytes());
-    // The sidecar has read them before the end comes: only then can they hide it.
-    std::thread::sleep(Duration::from_millis(50));
-    match way {
-        Leaving::Closes => None,
-        Leaving::HalfCloses => {
-            let _ = client.reader.get_ref().shutdown(Shutdown::Write);
-            Some(client)
-        }
-        Leaving::Resets => {
-            SockRef::from(client.reader.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
-            None
-        }
-    }
-}
-
-/// The requests of a class that reached an upstream.
-fn of_class(upstream: &Upstream, class: &str) -> usize {
-    let path = format!("/{class}?");
-    upstream.requests().iter().filter(|request| request.line.contains(&path)).count()
-}
 
 #[test]
 fn a_client_that_leaves_with_bytes_behind_its_request_takes_its_attempt_with_it() {
@@ -92,55 +51,6 @@
     }
 }
 
-/// An upstream that connections to do not come up: its accept queue is full until this is told to accept.
-struct Late {
-    listener: TcpListener,
-    queue: Vec<TcpStream>,
-}
-
-impl Late {
-    fn new() -> Late {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        let listener = runtime.block_on(async {
-            let socket = tokio::net::TcpSocket::new_v4().unwrap();
-            socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-            socket.listen(1).unwrap().into_std().unwrap()
-        });
-        listener.set_nonblocking(false).unwrap();
-        let address = listener.local_addr().unwrap();
-        Late { listener, queue: [0, 1].map(|_| TcpStream::connect(address).unwrap()).into() }
-    }
-
-    /// From now on connections come up and all is served; counts the requests of a class.
-    fn accept(self, class: &'static str) -> Arc<AtomicUsize> {
-        let written = Arc::new(AtomicUsize::new(0));
-        let seen = written.clone();
-        drop(self.queue);
-        std::thread::spawn(move || {
-            for stream in self.listener.incoming().flatten() {
-                let seen = seen.clone();
-                std::thread::spawn(move || {
-                    let mut reader = BufReader::new(stream);
-                    while let Some(message) = read_message(&mut reader) {
-                        if message.line.contains(&format!("/{class}?")) {
-                            seen.fetch_add(1, Ordering::SeqCst);
-                        }
-                        let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-                    }
-                });
-            }
-        });
-        written
-    }
-}
-
-/// Settings under which connecting and waiting for an answer take as long as a test wants.
-fn patient() -> String {
-    SETTINGS
-        .replace(r#""connect_timeout":2000.0"#, r#""connect_timeout":25000.0"#)
-        .replace(r#""aim":3000.0"#, r#""aim":60000.0"#)
-}
-
 #[test]
 fn a_client_that_leaves_while_its_attempt_connects_is_not_sent_on() {
     let late = Late::new();
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -9,6 +9,8 @@
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
+
 /// Nothing here takes this long unless it never comes.
 pub const FOREVER: Duration = Duration::from_secs(30);
 
@@ -472,3 +474,98 @@
          X-Priority-Class: {class}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: {timeout_ms}\r\n{key}{length}\r\n{body}"
     )
 }
+
+/// How a client goes while its request is open.
+#[derive(Debug, Clone, Copy)]
+pub enum Leaving {
+    Closes,
+    HalfCloses,
+    Resets,
+}
+
+/// All ways to go, each with nothing behind the request and with further bytes behind it: part of another request,
+/// a whole one, and more than is kept of it.
+pub fn ways_to_leave() -> Vec<(Leaving, String)> {
+    let behind = [String::new(), "GET /fetch?k".to_owned(), request("fetch", 60_000), "x".repeat(100_000)];
+    let ways = [Leaving::Closes, Leaving::HalfCloses, Leaving::Resets];
+    ways.into_iter().flat_map(|way| behind.clone().map(|bytes| (way, bytes))).collect()
+}
+
+/// Writes further bytes and goes. What is given back keeps a half-closed connection open.
+pub fn leave(mut client: Client, way: Leaving, behind: &str) -> Option<Client> {
+    client.write(behind.as_bytes());
+    // The sidecar has read them before the end comes: only then can they hide it.
+    std::thread::sleep(Duration::from_millis(50));
+    depart(client, way, &[])
+}
+
+/// The same in one moment.
+pub fn depart(mut client: Client, way: Leaving, behind: &[u8]) -> Option<Client> {
+    client.write(behind);
+    match way {
+        Leaving::Closes => None,
+        Leaving::HalfCloses => {
+            let _ = client.reader.get_ref().shutdown(Shutdown::Write);
+            Some(client)
+        }
+        Leaving::Resets => {
+            SockRef::from(client.reader.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+            None
+        }
+    }
+}
+
+/// The requests of a class that reached an upstream.
+pub fn of_class(upstream: &Upstream, class: &str) -> usize {
+    let path = format!("/{class}?");
+    upstream.requests().iter().filter(|request| request.line.contains(&path)).count()
+}
+
+/// An upstream that connections to do not come up: its accept queue is full until this is told to accept.
+pub struct Late {
+    pub listener: TcpListener,
+    queue: Vec<TcpStream>,
+}
+
+impl Late {
+    pub fn new() -> Late {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let listener = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4().unwrap();
+            socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            socket.listen(1).unwrap().into_std().unwrap()
+        });
+        listener.set_nonblocking(false).unwrap();
+        let address = listener.local_addr().unwrap();
+        Late { listener, queue: [0, 1].map(|_| TcpStream::connect(address).unwrap()).into() }
+    }
+
+    /// From now on connections come up and all is served; counts the requests of a class.
+    pub fn accept(self, class: &'static str) -> Arc<AtomicUsize> {
+        let written = Arc::new(AtomicUsize::new(0));
+        let seen = written.clone();
+        drop(self.queue);
+        std::thread::spawn(move || {
+            for stream in self.listener.incoming().flatten() {
+                let seen = seen.clone();
+                std::thread::spawn(move || {
+                    let mut reader = BufReader::new(stream);
+                    while let Some(message) = read_message(&mut reader) {
+                        if message.line.contains(&format!("/{class}?")) {
+                            seen.fetch_add(1, Ordering::SeqCst);
+                        }
+                        let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    }
+                });
+            }
+        });
+        written
+    }
+}
+
+/// Settings under which connecting and waiting for an answer take as long as a test wants.
+pub fn patient() -> String {
+    SETTINGS
+        .replace(r#""connect_timeout":2000.0"#, r#""connect_timeout":25000.0"#)
+        .replace(r#""aim":3000.0"#, r#""aim":60000.0"#)
+}
