Ask the client's socket whether it has gone right before an attempt is written

Cause: an attempt was given up for a client that had gone only once its connection's task had been woken for that (src/net/client.rs, connection) and the driver had taken ClientLeft in. SIGSTOP and SIGCONT end the wait in epoll with EINTR: the runtime then fires the timers that came due and runs what they wake, up to 61 polls, before it turns to the kernel for the client's end. So a first attempt's time-out was followed by a further one, and the wait for a quiet connection (src/net/upstream.rs, exchange) by the write, 0.4 s after the close.

Change: exchange asks for the last time when the connection is quiet: the socket itself is read until it is empty or at its end (Peer::is_gone). The bytes are kept as those are that poll_gone reads. It is asked only while the client is owed an answer; hyper reads what was kept when it goes on with that. An attempt that is not wanted any more ends as ClientGone: the driver ends the request as if its connection had told, and the connection to the server goes back unused. First, further and re-sent attempts all pass here.

What a client that stays sends behind its request is still read after its answer: red where is_gone drops the bytes.

Ruled out: to wake the connection's task after such a read; the test of the client that stays passes without.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
 use std::task::Poll;
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::driver::Happening;
-use super::inbound::Inbound;
+use super::inbound::{Inbound, Peer};
 use super::log;
 use super::upstream::BODY_BYTES;
 
@@ -115,6 +115,8 @@
     pub cost: Option<f64>,
     /// What goes on to upstreams.
     pub forward: Forward,
+    /// Its client, as long as that is owed an answer.
+    pub client: Weak<Peer>,
     /// Where its final answer goes.
     pub reply: oneshot::Sender<Final>,
 }
@@ -245,12 +247,13 @@
     let now = *phase.borrow_and_update();
     let heard = AtomicBool::new(false);
     let whole_by = Instant::now() + WHOLE;
+    let (stream, peer) = Inbound::new(stream);
     let service = service_fn(|request| {
         let first = !heard.swap(true, Ordering::Relaxed);
-        let front = front.clone();
+        let (front, peer) = (front.clone(), peer.clone());
         async move {
             let by = if first { whole_by } else { Instant::now() + WHOLE };
-            let mut response = handle(request, &front, slot, by).await;
+            let mut response = handle(request, &front, slot, peer, by).await;
             slot.free_since.store(epoch.elapsed().as_millis() as u64, Ordering::Relaxed);
             // What is left of a request that was turned away must not be read as another.
             if response.status().is_client_error() || *front.phase.borrow() > Phase::Open {
@@ -259,7 +262,6 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let (stream, peer) = Inbound::new(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(if now == Phase::Closing { IDLE_AT_END } else { IDLE })
@@ -322,6 +324,7 @@
     request: Request<Incoming>,
     front: &Front,
     slot: &Slot,
+    peer: Peer,
     whole_by: Instant,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == "/up" {
@@ -352,7 +355,10 @@
     let request = RequestId(front.next_id.fetch_add(1, Ordering::Relaxed));
     let (reply, answer) = oneshot::channel();
     let forward = Forward { method: head.method, target, headers: end_to_end(&head.headers), body };
-    let arrival = Arrival { request, class, tenant, id, at, time_left, cost, forward, reply };
+    // Dropped with this future, when the client has its answer or has gone.
+    let waiting = Arc::new(peer);
+    let client = Arc::downgrade(&waiting);
+    let arrival = Arrival { request, class, tenant, id, at, time_left, cost, forward, client, reply };
     let mut guard = Guard { request, front, answered: false };
     let _ = front.happenings.send(Happening::Arrived(Box::new(arrival)));
     let answer = answer.await;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +18,7 @@
 
 use super::client::{Arrival, Final, Forward, Front, end_to_end};
 use super::discovery::{AbortOnDrop, HostList, Watch};
+use super::inbound::Peer;
 use super::log;
 use super::servers::Servers;
 use super::upstream::{Answer, Connection, End, Permits, Source, attempt, probe};
@@ -116,6 +117,7 @@
 struct Open {
     id: Box<str>,
     forward: Arc<Forward>,
+    client: Weak<Peer>,
     reply: oneshot::Sender<Final>,
     sends: u32,
     deadline: Instant,
@@ -296,10 +298,7 @@
     fn happened(&mut self, happening: Happening) {
         match happening {
             Happening::Arrived(arrival) => self.arrived(*arrival),
-            Happening::ClientLeft(request) => {
-                self.close(request);
-                self.leave(request);
-            }
+            Happening::ClientLeft(request) => self.client_left(request),
             Happening::Connected(flight, connection) => self.connected(flight, connection),
             Happening::Ended { flight, end } => self.ended(flight, end),
             Happening::Idle { upstream, life, connection } => self.put_back(upstream, life, *connection),
@@ -330,7 +329,7 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { request, class, tenant, id, at, time_left, cost, forward, reply } = arrival;
+        let Arrival { request, class, tenant, id, at, time_left, cost, forward, client, reply } = arrival;
         if self.ending {
             let _ = reply.send(Final::Refused(0.0));
             return;
@@ -343,12 +342,18 @@
         }
         let deadline = at + time_left.saturating_sub(IN_HAND);
         let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
-        let open = Open { id, forward: Arc::new(forward), reply, sends: 0, deadline, timer };
+        let open = Open { id, forward: Arc::new(forward), client, reply, sends: 0, deadline, timer };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         self.event(Event::Arrived { request, class, tenant, time_left, cost });
     }
 
+    /// Ends a request whose client has gone.
+    fn client_left(&mut self, request: RequestId) {
+        self.close(request);
+        self.leave(request);
+    }
+
     /// Tells the module that a request is over without it, and ends what is out for it.
     fn leave(&mut self, request: RequestId) {
         self.event(Event::Abandoned(request));
@@ -500,8 +505,8 @@
         if let Some(sent) = self.sent.get_mut(&key) {
             sent.give_up = Some(give_up);
         }
-        let happenings = self.happenings.clone();
-        tokio::spawn(attempt(connection, request, body_len, flight, given_up, happenings));
+        let (client, happenings) = (open.client.clone(), self.happenings.clone());
+        tokio::spawn(attempt(connection, request, body_len, client, flight, given_up, happenings));
     }
 
     /// Ends an attempt that never began, after the actions at hand.
@@ -521,6 +526,11 @@
                 }
                 (Outcome::Unreachable, None)
             }
+            // Its connection tells the same, if later.
+            End::ClientGone => {
+                self.client_left(flight.request);
+                (Outcome::NotSent, None)
+            }
         };
         let Some(sent) = self.sent.remove(&key) else { return };
         let latency = sent.at.elapsed().as_secs_f64() * 1e3;
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,12 +1,13 @@
 //! A client's connection as hyper sees it, and what hyper does not see: that the client has gone while its request
 //! waits. hyper reads no further once bytes stand behind a request that is open, and then hears of no end either.
 
-use std::io;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
 use bytes::{Buf, BytesMut};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -16,6 +17,9 @@
 const AHEAD_BYTES: usize = 32 << 10;
 /// How much is read at once.
 const PIECE_BYTES: usize = 8 << 10;
+/// So many pieces are read in one go to find an end behind them: more than a socket holds by default (6 MiB). A
+/// client that writes on and on must not keep the others waiting.
+const PIECES_AT_ONCE: usize = 1 << 10;
 
 struct Reading {
     half: OwnedReadHalf,
@@ -25,6 +29,16 @@
     cut: bool,
 }
 
+impl Reading {
+    /// Keeps what came behind an open request.
+    fn keep(&mut self, bytes: &[u8]) {
+        self.cut |= self.ahead.len() + bytes.len() > AHEAD_BYTES;
+        if !self.cut {
+            self.ahead.extend_from_slice(bytes);
+        }
+    }
+}
+
 /// The stream that hyper reads from and writes to.
 pub struct Inbound {
     reading: Arc<Mutex<Reading>>,
@@ -32,6 +46,7 @@
 }
 
 /// The other end of a client's connection, to be watched while its request is open.
+#[derive(Clone)]
 pub struct Peer(Arc<Mutex<Reading>>);
 
 fn lock(reading: &Mutex<Reading>) -> MutexGuard<'_, Reading> {
@@ -60,11 +75,27 @@
             if read.is_err() || buf.filled().is_empty() {
                 return Poll::Ready(());
             }
-            reading.cut |= reading.ahead.len() + buf.filled().len() > AHEAD_BYTES;
-            if !reading.cut {
-                reading.ahead.extend_from_slice(buf.filled());
+            reading.keep(buf.filled());
+        }
+    }
+
+    /// Whether it has done so by now. The socket itself is asked: the runtime hears of an end only when it next
+    /// turns to the kernel, and timers that came due while the process was held up fire before that. Only to be
+    /// asked while a request is open: hyper reads what was read here when it goes on with the answer, since the
+    /// runtime will not wake it for that.
+    pub fn is_gone(&self) -> bool {
+        let reading = &mut *lock(&self.0);
+        let mut piece = [0; PIECE_BYTES];
+        for _ in 0..PIECES_AT_ONCE {
+            let read = (&*SockRef::from(reading.half.as_ref())).read(&mut piece);
+            match read {
+                Ok(0) => return true,
+                Ok(count) => reading.keep(&piece[..count]),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
             }
         }
+        false
     }
 }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to upstreams, and the one exchange at a time that each carries: attempts and probes.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 
 use super::counted::{Counted, Meter};
 use super::driver::{Flight, Happening};
+use super::inbound::Peer;
 use super::log;
 
 /// Bodies hold at most this much, both ways.
@@ -115,6 +116,8 @@
 
 /// Why there is no answer.
 enum Broken {
+    /// Nothing was written, since nobody waits for the answer.
+    Unwanted,
     /// The request's last byte was never written: it has not run.
     Unsent,
     /// It may have run.
@@ -148,16 +151,20 @@
     }
 }
 
-/// Sends a request once the connection is quiet, and reads its answer whole.
+/// Sends a request once the connection is quiet, if it is still `wanted` then, and reads its answer whole.
 async fn exchange(
     connection: &mut Connection,
     mut request: Request<Full<Bytes>>,
     complete_at: u64,
+    wanted: impl FnOnce() -> bool,
 ) -> Result<Answer, Broken> {
     let quiet_at = connection.quiet_at();
     if quiet_at > Instant::now() {
         sleep_until(quiet_at).await;
     }
+    if !wanted() {
+        return Err(Broken::Unwanted);
+    }
     let Connection { sender, meter, .. } = connection;
     let broken = || if meter.written() < complete_at { Broken::Unsent } else { Broken::Cut };
     let notices = meter.clone();
@@ -218,6 +225,8 @@
     Outcome(Outcome, Option<Answer>),
     /// The idle connection had been closed and no byte was written to it: another may be used.
     Stale,
+    /// The client had gone before a byte was written.
+    ClientGone,
 }
 
 /// Carries one attempt over a connection until it ends, its time is up or `give_up` is dropped or used.
@@ -225,6 +234,7 @@
     mut connection: Connection,
     request: Request<Full<Bytes>>,
     body_len: usize,
+    client: Weak<Peer>,
     flight: Flight,
     give_up: oneshot::Receiver<()>,
     happenings: mpsc::UnboundedSender<Happening>,
@@ -234,11 +244,13 @@
     let complete_at = before + least_size(&request, body_len);
     let (end, keep) = {
         let used = connection.used;
-        let exchange = exchange(&mut connection, request, complete_at);
+        let wanted = || client.upgrade().is_some_and(|client| !client.is_gone());
+        let exchange = exchange(&mut connection, request, complete_at, wanted);
         tokio::select! {
             biased;
             result = exchange => match result {
                 Ok(answer) => (End::Outcome(outcome_of(&answer), Some(answer)), true),
+                Err(Broken::Unwanted) => (End::ClientGone, false),
                 Err(Broken::Unsent) if used && meter.written() == before => (End::Stale, false),
                 Err(Broken::Unsent) => (End::Outcome(Outcome::Unreachable, None), false),
                 Err(Broken::Cut) => (End::Outcome(Outcome::Reset, None), false),
@@ -255,6 +267,11 @@
             () = sleep_until(flight.until) => (End::Outcome(Outcome::TimedOut, None), false),
         }
     };
+    if matches!(end, End::ClientGone) {
+        let _ = happenings.send(Happening::Ended { flight, end });
+        // As it was before: it has carried nothing.
+        return give_back(Some(connection), flight.upstream, flight.life, &happenings);
+    }
     if keep {
         let _ = happenings.send(Happening::Ended { flight, end });
         give_back(connection.settle().await, flight.upstream, flight.life, &happenings);
@@ -287,7 +304,7 @@
     };
     let mut answer = None;
     if let Ok(mut connection) = opened {
-        let result = timeout_at(until, exchange(&mut connection, request, 0)).await;
+        let result = timeout_at(until, exchange(&mut connection, request, 0, || true)).await;
         if let Ok(Ok(got)) = result {
             answer = Some(got);
             let _ = happenings.send(Happening::Probed { upstream, answer });
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -221,6 +221,22 @@
     });
 }
 
+/// A first attempt is given up after some 2.3 s, and until 3 s another is tried.
+const NEARLY_TIMED_OUT: Duration = Duration::from_millis(2_100);
+
+#[test]
+fn a_time_out_that_comes_due_while_the_client_leaves_is_not_followed_by_another_attempt() {
+    let duplicates = SETTINGS.replace(r#""may_duplicate":false"#, r#""may_duplicate":true"#);
+    for settings in [SETTINGS, &duplicates] {
+        none_goes_on(settings, 9, 9, NEARLY_TIMED_OUT, |_| Deed::Silence, |_| {});
+    }
+}
+
+#[test]
+fn of_two_hundred_that_leave_at_once_none_is_sent_on() {
+    none_goes_on(SETTINGS, 20, 200, NEARLY_TIMED_OUT, |_| Deed::Silence, |_| {});
+}
+
 #[test]
 fn a_failure_that_comes_while_the_client_leaves_is_not_followed_by_another_attempt() {
     fn let_go(go: &AtomicUsize) {
@@ -245,6 +261,56 @@
     }
 }
 
+#[test]
+fn a_request_that_waits_for_a_quiet_connection_is_not_written_after_its_client_has_left() {
+    // Probes would come with connections of their own.
+    let settings = SETTINGS.replace(r#""probes":true"#, r#""probes":false"#);
+    for (way, behind) in ways() {
+        let came = Came::default();
+        let upstreams = servers(&came, || Deed::ok("served"));
+        until("a round was in time", || {
+            // One connection, on which an answer has just come.
+            let (sidecar, _discovery) = Sidecar::with_settings(&[&upstreams[0]], &settings);
+            let mut first = Client::to(sidecar.address);
+            let mut client = Client::to(sidecar.address);
+            let brake = Brake::on(&sidecar);
+            let before = count(&came, "fetch");
+            assert_eq!(first.ask("bill").status(), 200);
+            client.send("fetch", 60_000);
+            // Enough to read it, and less than the wait.
+            std::thread::sleep(Duration::from_millis(3));
+            let (_half_open, out) =
+                held_up(&sidecar, brake, &came, || depart(client, way, behind.as_bytes()));
+            assert_eq!(first.ask("bill").status(), 200);
+            std::thread::sleep(Duration::from_millis(50));
+            assert_eq!(count(&came, "fetch"), out, "{way:?} with {} bytes behind", behind.len());
+            out == before
+        });
+    }
+}
+
+#[test]
+fn what_a_client_that_stays_has_sent_behind_its_request_is_read_after_its_answer() {
+    let settings = SETTINGS.replace(r#""probes":true"#, r#""probes":false"#);
+    let came = Came::default();
+    let upstreams = servers(&came, || Deed::ok("served"));
+    until("a round was in time", || {
+        let (sidecar, _discovery) = Sidecar::with_settings(&[&upstreams[0]], &settings);
+        let mut first = Client::to(sidecar.address);
+        let mut client = Client::to(sidecar.address);
+        let brake = Brake::on(&sidecar);
+        let before = count(&came, "fetch");
+        assert_eq!(first.ask("bill").status(), 200);
+        client.send("fetch", 60_000);
+        std::thread::sleep(Duration::from_millis(3));
+        // The socket is asked for its end and holds this instead.
+        let ((), out) = held_up(&sidecar, brake, &came, || client.send("log", 60_000));
+        assert_eq!(client.read().expect("the first answer").status(), 200);
+        assert_eq!(client.read().expect("the second answer").status(), 200);
+        out == before
+    });
+}
+
 #[test]
 fn a_connection_that_comes_up_while_the_client_leaves_is_not_written_to() {
     let late = Late::new();
