Measure what cold servers can do over one span of time, and play whole fleets against them

Cause: `capacity_share` (src/reach.rs) divided what was answered over the last five seconds by the load that servers reported at this moment. When a server has come back cold, five seconds of answers from its warm time were held against the small load that it reports now, so each sidecar took it for up to three times as large as it is. With a few requests for each of many sidecars and more arrivals than the server can do, their sum went beyond its budget. Before any report came, and after a restart, it was held too small for as long.

Change: the reported load is averaged over the same time as the answers, from nothing like them. A share is measured by how many servers are drawn from.

Test: tests/fleet_stage plays whole fleets of modules against modelled servers in virtual time; tests/cold.rs holds the sum of their sends in every window against N + 2 sqrt(N) + 2.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -249,7 +249,7 @@
             });
         }
         if candidates.iter().any(|c| c.warmth < 1.0) {
-            let share = self.capacity_share(&candidates);
+            let share = self.capacity_share(candidates.len());
             candidates.iter_mut().for_each(|c| c.allowance = self.allowance(c, share));
         }
         candidates
@@ -496,8 +496,9 @@
 
     /// Takes in a server's own figures; what others have there by them counts for at least this share.
     fn take_report(&mut self, id: UpstreamId, report: Report, least: f64) {
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
         let Some(in_flight) = report.in_flight.filter(|m| m.is_finite() && *m >= 0.0) else { return };
+        self.loaded(id, report.utilisation.unwrap_or(1.0).clamp(0.0, 1.0));
+        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
         // Utilisation is a running mean while in-flight is of the moment: only means of both may be divided.
         let weight_over = |time: Millis| 1.0 - (-(self.now - upstream.reported_at) / time).exp();
         let (weight, others_weight) = (weight_over(MEANS_OVER), weight_over(OTHERS_OVER));
@@ -507,7 +508,6 @@
         upstream.others += others_weight.max(least) * (others - upstream.others);
         upstream.reported_at = self.now;
         upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
-        upstream.utilisation = report.utilisation.unwrap_or(1.0).clamp(0.0, 1.0);
         let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
         // Servers that start with us begin their mean at 0: early ratios would call them huge.
         if self.now < *self.seen.first_at.get_or_insert(self.now) + 2.0 * MEANS_OVER {
@@ -558,6 +558,7 @@
     // --- The server list ---------------------------------------------------------------------
 
     fn listed(&mut self, news: ListNews, out: &mut Vec<Action>) {
+        self.seen.load_at.get_or_insert(self.now);
         let failed = news == ListNews::Unavailable;
         let must_ask = failed || matches!(news, ListNews::Restored(_));
         if matches!(news, ListNews::Restored(_) | ListNews::Complete(_)) {
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -91,22 +91,25 @@
         self.rings = rings;
     }
 
-    /// The share of a warm server's capacity that falls to this sidecar, in requests a second: what it is
-    /// answered by a server is its part of what they do, and their reports tell which part that is of all they
-    /// could. Without any, and before them, they are taken to do all they can.
-    pub(crate) fn capacity_share(&self, candidates: &[Candidate]) -> f64 {
-        let heard: Vec<f64> = candidates
-            .iter()
-            .filter_map(|candidate| self.upstreams.get(&candidate.id))
-            .filter(|upstream| self.now - upstream.reported_at <= RATE_OVER)
-            .map(|upstream| upstream.utilisation * upstream.warmth(self.now, &self.settings.safety))
-            .collect();
-        let count = candidates.len().max(1) as f64;
-        if heard.is_empty() {
+    /// The share of a warm server's capacity that falls to this sidecar, in requests a second, where it draws from
+    /// so many: what it is answered is its part of what they do, and their reports tell which part that is of all
+    /// they could. Without any they are taken to do all they can.
+    pub(crate) fn capacity_share(&self, count: usize) -> f64 {
+        let count = count.max(1) as f64;
+        if self.seen.load <= 0.0 || self.seen.load_at.is_none_or(|at| self.now - at > RATE_OVER) {
             return self.seen.arrivals.at(self.now, RATE_OVER) * (1.0 - self.seen.refused) / count;
         }
-        let load = (heard.iter().sum::<f64>() / heard.len() as f64).max(LOAD_FLOOR);
-        self.seen.served.at(self.now, RATE_OVER) / load / count
+        self.seen.served.at(self.now, RATE_OVER) / self.seen.load.max(LOAD_FLOOR) / count
+    }
+
+    /// Averages in how much of what it can do warm a server does, over the same time as what is answered and from
+    /// nothing like it: by the load of this moment alone, what a server did warm would tell what it can do cold.
+    pub(crate) fn loaded(&mut self, id: UpstreamId, utilisation: f64) {
+        let Some(upstream) = self.upstreams.get(&id) else { return };
+        let used = utilisation * upstream.warmth(self.now, &self.settings.safety);
+        let told = 1.0 - (-(self.now - self.seen.load_at.unwrap_or(self.now)) / RATE_OVER).exp();
+        self.seen.load += told * (used - self.seen.load);
+        self.seen.load_at = Some(self.now);
     }
 
     /// Sends that a server may be given now. While it is cold all sidecars together must stay within a multiple of
--- a/src/state.rs
+++ b/src/state.rs
@@ -177,6 +177,10 @@
     /// Arrivals and good answers, a second.
     pub arrivals: Rate,
     pub served: Rate,
+    /// What servers do as a part of what they can do warm, by their reports, and when the last one came or
+    /// the first list.
+    pub load: f64,
+    pub load_at: Option<Millis>,
     /// When the first report came.
     pub first_at: Option<Millis>,
     /// The span over which the next call to discovery is spread, and whether one is to come.
@@ -199,6 +203,8 @@
             tenant_shares: vec![0.0; tenants],
             arrivals: Rate::default(),
             served: Rate::default(),
+            load: 0.0,
+            load_at: None,
             first_at: None,
             ask_wait: 0.0,
             ask_pending: false,
@@ -226,8 +232,6 @@
     pub kappa: Option<f64>,
     /// Running mean of the reports.
     pub mean_in_flight: f64,
-    /// The last report's.
-    pub utilisation: f64,
     /// Running mean of what its reports hold beyond our own sends.
     pub others: f64,
     pub reported_at: Millis,
@@ -289,7 +293,6 @@
             started: entry.started,
             kappa: None,
             mean_in_flight: 0.0,
-            utilisation: 0.0,
             others: 0.0,
             reported_at: f64::NEG_INFINITY,
             probe_sent: None,
--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,89 @@
+//! Cold servers fall under the sum of what all sidecars send, each knowing nothing of the others. Beyond their budget
+//! of N requests only 2 roots of N and 2 more are put down to chance.
+
+mod fleet_stage;
+
+use fleet_stage::*;
+
+/// Plays a plan; no cold server may be sent more than it bears in any window.
+fn holds(name: &str, plan: &Plan) -> Used {
+    let played = play(plan);
+    let used = played.used(plan);
+    println!(
+        "{name:20} {:3} modules, {:2} of {} cold: most {:.2}, brink {:.2}, mean {:.2}, first {:.2} of the budget; \
+         sent {:?} in the first seconds, {} further attempts; refused {:.2}%, in time {:.1}%",
+        plan.modules,
+        plan.cold,
+        plan.servers,
+        used.most,
+        used.brink,
+        used.mean,
+        used.first,
+        played.by_second(),
+        played.further,
+        100.0 * played.refused_share(),
+        100.0 * played.in_time as f64 / played.arrived as f64,
+    );
+    assert!(used.brink < 1.0, "{name}, {} modules: {used:?}", plan.modules);
+    used
+}
+
+#[test]
+fn one_alone_and_one_cold_server_alone_stay_within_the_budget() {
+    for seed in 1..=5 {
+        holds("one sidecar", &Plan::new(1, 12, 4, seed));
+        holds("one sidecar, restart", &Plan { restarts: Some(2_000.0), ..Plan::new(1, 12, 4, seed) });
+    }
+    for modules in [1, 4, 20, 30, 100, 300] {
+        holds("one cold", &Plan::new(modules, 20, 1, 6));
+        holds("one server", &Plan { load: 1.5, ..Plan::new(modules, 1, 1, 7) });
+    }
+}
+
+/// What a server did warm counted as done cold, five seconds long: a few requests for each of many sidecars, and much
+/// more than it can do.
+#[test]
+fn a_flood_at_one_that_has_just_come_back_stays_within_the_budget() {
+    for modules in [30, 100, 300] {
+        for seed in 1..=4 {
+            let plan = Plan { load: 5.0, until: START + 6_000.0, ..Plan::new(modules, 1, 1, seed) };
+            holds("flood", &plan);
+        }
+    }
+}
+
+/// Nothing but the budget keeps work from cold servers: there are no others, or not enough.
+#[test]
+fn overload_stays_within_the_budget() {
+    for modules in [4, 30, 300] {
+        holds("overload", &Plan { load: 1.3, ..Plan::new(modules, 60, 18, 8) });
+        holds("all cold", &Plan { load: 0.9, ..Plan::new(modules, 30, 30, 9) });
+        let unequal = Plan { spread: 1.4, ranked: false, ..Plan::new(modules, 30, 30, 10) };
+        holds("all cold, unequal", &Plan { load: 1.3, ..unequal });
+        holds("others failing", &Plan { errors: 0.9, ..Plan::new(modules, 30, 3, 11) });
+    }
+}
+
+/// A new process knows nothing of what the one before it has sent.
+#[test]
+fn restarts_in_the_middle_stay_within_the_budget() {
+    for modules in [4, 30, 300] {
+        for (ranked, load, span) in [(true, 0.65, 3_000.0), (false, 1.3, 2_000.0), (false, 1.3, 1.0)] {
+            let plan = Plan { ranked, load, restarts: Some(span), ..Plan::new(modules, 30, 10, 12) };
+            holds("restarts", &plan);
+            holds("restarts, all cold", &Plan { cold: 30, ..plan });
+        }
+    }
+}
+
+/// Three in four servers of each cell are new, and half of the answers of the others are errors: requests are sent
+/// on within the cell.
+#[test]
+fn further_attempts_within_a_cell_stay_within_the_budget() {
+    for modules in [4, 30, 300] {
+        for (ranked, restarts) in [(true, None), (false, None), (false, Some(3_000.0))] {
+            let plan = Plan { ranked, restarts, ..Plan::new(modules, 36, 27, 13) };
+            holds("cells", &Plan { keyed: true, errors: 0.5, cell: 4, load: 0.5, ..plan });
+        }
+    }
+}
