Let a share below one call to a cold server be a chance of one call

Cause: `allowance` saved up whole calls and `draw` left out cold servers without one (src/reach.rs, src/brain.rs). Where each of many sidecars may send a cold server one call in several seconds, half of a warm-up passes before a call is saved up, and as long again until a draw falls on that server: the larger the fleet, the less a new server got.

Change: one call may be borrowed. Who would be picked more often than three quarters of what the settings allow takes part in so much fewer draws, by one lot for all cold servers of a request; how often it would be picked is counted from the candidates. What is saved up still keeps the margin of a half over time. A new process starts in the same state as before: what it may send at once is a chance, no saved call. Further attempts bound to few servers need a whole call.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -82,7 +82,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     pub(crate) settings: Settings,
-    rng: Rand64,
+    pub(crate) rng: Rand64,
     pub(crate) now: Millis,
     requests: BTreeMap<RequestId, Held>,
     pub(crate) upstreams: BTreeMap<UpstreamId, Upstream>,
@@ -216,8 +216,7 @@
         let means = Means::of(self.upstreams.values(), self.now - STALE);
         let usual_failures = self.usual_failures();
         // What may go to few servers only may go to any of them.
-        let bound = held.tries.iter().any(|t| t.out || t.may_have_run);
-        let members = if bound { None } else { self.members() };
+        let members = if held.bound() { None } else { self.members() };
         let mut candidates = Vec::with_capacity(self.upstreams.len());
         for (&id, upstream) in &self.upstreams {
             let member = members.as_ref().is_none_or(|members| members.contains(&id));
@@ -246,11 +245,12 @@
                 own: depth - 1.0 + held.size,
                 warmth,
                 allowance: f64::INFINITY,
+                allowed_per_s: f64::INFINITY,
             });
         }
         if candidates.iter().any(|c| c.warmth < 1.0) {
             let share = self.capacity_share(candidates.len());
-            candidates.iter_mut().for_each(|c| c.allowance = self.allowance(c, share));
+            candidates.iter_mut().for_each(|c| self.allow(c, share));
         }
         candidates
     }
@@ -331,12 +331,12 @@
         // An idle server always has room: else a service time learnt in a jam would lock everyone out.
         open.retain(|c| c.idle || c.wait <= room);
         let room = !open.is_empty();
-        open.retain(|c| c.allowance >= 1.0);
         // With roughly exponential answer times one expected at `wait` misses its aim with probability
         // exp(-aim/wait): while that is below the fee, crossing does not pay.
         let fee = self.settings.crossing_fee;
         let near_limit = if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 };
         let near = |c: &Candidate| c.near && c.wait <= near_limit;
+        self.admit(&mut open, held, near);
         if open.iter().any(near) {
             open.retain(near);
         }
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -18,8 +18,11 @@
 pub(crate) const RATE_OVER: Millis = 5_000.0;
 /// Below this load in their reports, what servers could do cannot be told from what they do.
 const LOAD_FLOOR: f64 = 0.2;
-/// The share of a cold server's allowance that is used: speeds and costs are estimates.
+/// The share of a cold server's allowance that is saved up: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
+/// So large a part of the whole allowance may be used before a margin is saved up: of independent chances that come
+/// to it, all together stay below the whole.
+const COLD_CHANCE: f64 = 0.75;
 /// So many sends to a cold server may be saved up: many sidecars may spend theirs at once.
 const COLD_BURST: f64 = 2.0;
 /// Probes, where answers carry reports as well, may cost this part of what is earned, and so many may be
@@ -112,15 +115,50 @@
         self.seen.load_at = Some(self.now);
     }
 
-    /// Sends that a server may be given now. While it is cold all sidecars together must stay within a multiple of
-    /// what it can do: each saves up its share, and those without any left look elsewhere.
-    pub(crate) fn allowance(&self, to: &Candidate, capacity_share: f64) -> f64 {
-        let Some(upstream) = self.upstreams.get(&to.id).filter(|_| to.warmth < 1.0) else {
-            return f64::INFINITY;
-        };
-        let per_s = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth * capacity_share;
-        let saved = per_s * (self.now - upstream.allowed_at).max(0.0) / 1_000.0;
-        (upstream.allowance + saved).min(COLD_BURST)
+    /// Fills in what a server may be sent. While it is cold all sidecars together must stay within a multiple of
+    /// what it can do: each saves up its share.
+    pub(crate) fn allow(&self, to: &mut Candidate, capacity_share: f64) {
+        let Some(upstream) = self.upstreams.get(&to.id).filter(|_| to.warmth < 1.0) else { return };
+        to.allowed_per_s = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth * capacity_share;
+        let saved = to.allowed_per_s * (self.now - upstream.allowed_at).max(0.0) / 1_000.0;
+        to.allowance = (upstream.allowance + saved).min(COLD_BURST);
+    }
+
+    /// Leaves out cold servers that may not be sent this request. A share far below one call in a warm-up becomes
+    /// a chance of one: who waited until a whole one is saved up would send none before the server is warm. So
+    /// one call may be borrowed, and who would be picked more often than the settings allow takes part in so
+    /// much fewer draws; the margin is kept by what is saved. A further attempt that is bound to few servers
+    /// comes in no such steady stream and needs a whole call.
+    pub(crate) fn admit(
+        &mut self,
+        open: &mut Vec<Candidate>,
+        held: &Held,
+        near: impl Fn(&Candidate) -> bool,
+    ) {
+        if open.iter().all(|c| c.warmth >= 1.0) {
+            return;
+        }
+        let bound = held.bound();
+        open.retain(|c| c.allowance >= f64::from(u8::from(bound)));
+        if bound {
+            return;
+        }
+        // One lot for all: with one for each, some would be in at any time and be picked so much more often.
+        let (lot, arrivals) = (self.rng.rand_float(), self.seen.arrivals.at(self.now, RATE_OVER));
+        let all = open.clone();
+        open.retain(|c| {
+            if c.warmth >= 1.0 {
+                return true;
+            }
+            let (mut peers, mut worse) = (1.0, 0.0);
+            for other in all.iter().filter(|other| other.id != c.id && near(other) == near(c)) {
+                peers += 1.0;
+                worse += f64::from(u8::from(other.projected >= c.projected));
+            }
+            // It is one of a random pair of them, and the better one.
+            let picked = if peers > 1.0 { 2.0 / peers * worse / (peers - 1.0) } else { 1.0 };
+            lot * picked * arrivals * COLD_MARGIN < COLD_CHANCE * c.allowed_per_s
+        });
     }
 
     /// Probes that may be sent for each request. Each sidecar pays for its own, the fleet for all of them.
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,6 +40,11 @@
         let deadline = arrived + time_left;
         Held { class, tenant, arrived, deadline, cost: None, size: 1.0, tries: Vec::new() }
     }
+
+    /// Whether it may have run already, so that not every server will do.
+    pub fn bound(&self) -> bool {
+        self.tries.iter().any(|t| t.out || t.may_have_run)
+    }
 }
 
 /// One of our sends that a server has not answered.
@@ -258,6 +263,8 @@
     pub warmth: f64,
     /// Sends that a cold one may be given now; a warm one any number.
     pub allowance: f64,
+    /// How fast a cold one's allowance grows.
+    pub allowed_per_s: f64,
     pub projected: f64,
     /// How many times its own service time an answer is expected to take, for the queue before it.
     pub depth: f64,
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -28,6 +28,37 @@
     used
 }
 
+/// However many share the work, the first window and the whole warm-up get about as much of the budget. A few
+/// sidecars hear more of each server and send cold ones more for that alone.
+fn evenly(name: &str, plans: impl Fn(usize) -> Plan) {
+    let [few, some] = [4, 30].map(|modules| holds(name, &plans(modules)));
+    for modules in [20, 100, 300] {
+        let many = holds(name, &plans(modules));
+        for (many, some, few) in [(many.first, some.first, few.first), (many.mean, some.mean, few.mean)] {
+            assert!(
+                many > 0.8 * some && many > 0.6 * few,
+                "{name}, {modules} modules: {many:.2} and {some:.2} of 30, {few:.2} of 4"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_fleet_of_any_size_uses_a_like_share_of_the_budget() {
+    evenly("ranked", |modules| Plan::new(modules, 60, 18, 1));
+}
+
+#[test]
+fn so_does_one_whose_sidecars_are_not_told_their_number() {
+    evenly("not ranked", |modules| Plan { ranked: false, ..Plan::new(modules, 60, 18, 2) });
+}
+
+#[test]
+fn three_hundred_on_two_hundred_servers_stay_within_the_budget() {
+    let used = holds("large", &Plan::new(300, 200, 60, 3));
+    assert!(used.first > 0.18, "{used:?}");
+}
+
 #[test]
 fn one_alone_and_one_cold_server_alone_stay_within_the_budget() {
     for seed in 1..=5 {
