--- a/src/brain.rs
+++ b/src/brain.rs
@@ -208,18 +208,22 @@
 
     /// What a request needs to know of all servers to see one.
     pub(crate) fn view(&mut self, held: &Held) -> View {
+        let (ids, near) = self.reachable(held);
         let aim_left = self.aim_left(held);
         // With roughly exponential answer times one expected at `wait` misses its aim with probability
         // exp(-aim/wait): while that is below the fee, crossing does not pay.
         let fee = self.settings.crossing_fee;
         let near_limit = if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 };
+        let near = if near_limit > 0.0 { near } else { 0 };
         let sums = self.roster.sums(self.now);
         let (others, failures) = (sums.usual_others(), sums.usual_failures(self.now));
-        View { room: self.room(held) * aim_left, near_limit, others, failures, met: Vec::new() }
+        let (room, lot) = (self.room(held) * aim_left, self.rng.rand_float());
+        let (met, anyone, open) = (Vec::new(), false, None);
+        View { ids, near, room, near_limit, others, failures, met, anyone, lot, open }
     }
 
     /// A server as a request sees it, with its projected utilisation and expected answer time.
-    pub(crate) fn candidate(&mut self, id: UpstreamId, held: &Held, view: &View) -> Option<Candidate> {
+    pub(crate) fn candidate(&self, id: UpstreamId, held: &Held, view: &View) -> Option<Candidate> {
         let upstream = self.roster.upstreams.get(&id)?;
         let (in_flight, kappa) = (self.in_flight(upstream, view.others), self.kappa(upstream));
         let warmth = upstream.warmth(self.now, &self.settings.safety);
@@ -229,7 +233,8 @@
         let fails = if upstream.health == Health::Ready { upstream.failures(self.now) } else { 0.0 };
         let more = fails - view.failures;
         let failing = if more > FAILS_MORE { more.min(0.9) } else { 0.0 };
-        let candidate = Candidate {
+        let allowed_per_s = self.allowed_per_s(warmth);
+        Some(Candidate {
             id,
             near: upstream.zone == self.settings.zone && failing == 0.0,
             // One that has just failed this request is the likeliest to fail it again.
@@ -242,10 +247,9 @@
             // Behind a queue of others, which are as large as usual, this one takes what it is itself.
             own: depth - 1.0 + held.size,
             warmth,
-            allowance: f64::INFINITY,
-        };
-        let allowance = if warmth < 1.0 { self.allowance(&candidate) } else { f64::INFINITY };
-        Some(Candidate { allowance, ..candidate })
+            allowance: upstream.allowance(allowed_per_s, self.now),
+            allowed_per_s,
+        })
     }
 
     /// κ: from the server's own reports, which fade into those of its kind: a small sidecar hears from one
@@ -297,30 +301,17 @@
     /// Whether any had room comes first: it may be that only cold ones did that must not be sent more.
     /// Servers are looked at in random order, until two are found: the others cost nothing.
     pub(crate) fn draw(&mut self, held: &Held, out: &mut Vec<Action>) -> (bool, bool, Pair) {
-        let (mut ids, near) = self.reachable(held);
         let mut view = self.view(held);
-        let mut pair = None;
-        if view.near_limit > 0.0 {
-            pair = self.first_two(&mut ids[..near], held, &mut view, true);
-        }
-        pair = pair.or_else(|| self.first_two(&mut ids, held, &mut view, false));
-        let mut room = true;
-        if pair.is_none() {
-            // All were looked at. Where everyone looks bad: rather ask someone than no one.
-            let anyone = !view.met.iter().any(|c| c.healthy);
-            let mut open = view.met.clone();
-            open.retain(|c| (c.healthy || anyone) && view.has_room(c));
-            room = !open.is_empty();
-            open.retain(|c| c.allowance >= 1.0);
-            if open.iter().any(|c| view.is_near(c)) {
-                open.retain(|c| view.is_near(c));
-            }
-            pair = self.pair(&open);
+        let mut pair = self.first_two(held, &mut view);
+        if pair.is_none() && !view.met.iter().any(|c| c.healthy) {
+            view.anyone = true;
+            pair = self.first_two(held, &mut view);
         }
+        let room = pair.is_some() || view.met.iter().any(|c| view.is_open(c));
         // Where none has room a pair of all is asked: what is never drawn would look full for good.
-        let asked = pair.or_else(|| self.pair(&view.met));
-        asked.into_iter().flatten().for_each(|drawn| self.probe(drawn.id, out));
-        (room, ids.len() > 1, pair)
+        let asked = pair.as_ref().map_or(&view.met[..], |pair| pair);
+        asked.iter().take(2).for_each(|drawn| self.probe(drawn.id, out));
+        (room, view.ids.len() > 1, pair)
     }
 
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
@@ -465,8 +456,10 @@
     /// Takes in a server's own figures; what others have there by them counts for at least this share.
     fn take_report(&mut self, id: UpstreamId, report: Report, least: f64) {
         let Some(in_flight) = report.in_flight.filter(|m| m.is_finite() && *m >= 0.0) else { return };
-        let (now, seen) = (self.now, &mut self.seen);
+        let (now, seen, safety) = (self.now, &mut self.seen, &self.settings.safety);
         self.roster.change(id, now, |upstream| {
+            let used = report.utilisation.unwrap_or(1.0).clamp(0.0, 1.0) * upstream.warmth(now, safety);
+            seen.loaded(used, now, RATE_OVER);
             // Utilisation is a running mean, in-flight is of the moment: only means of both may be divided.
             let weight_over = |time: Millis| 1.0 - (-(now - upstream.reported_at) / time).exp();
             let (weight, others_weight) = (weight_over(MEANS_OVER), weight_over(OTHERS_OVER));
@@ -476,7 +469,6 @@
             upstream.others += others_weight.max(least) * (others - upstream.others);
             upstream.reported_at = now;
             upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
-            upstream.utilisation = report.utilisation.unwrap_or(1.0).clamp(0.0, 1.0);
             let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
             // Servers that start with us begin their mean at 0: early ratios would call them huge.
             if now < *seen.first_at.get_or_insert(now) + 2.0 * MEANS_OVER {
@@ -528,18 +520,13 @@
     // --- The server list ---------------------------------------------------------------------
 
     fn listed(&mut self, news: ListNews, out: &mut Vec<Action>) {
+        self.seen.load_at.get_or_insert(self.now);
         let failed = news == ListNews::Unavailable;
         let must_ask = failed || matches!(news, ListNews::Restored(_));
         let (now, rng) = (self.now, &mut self.rng);
-        let starts = |upstream: &mut Upstream| {
-            if upstream.started.is_some() && upstream.allowed_at == f64::NEG_INFINITY {
-                // Many sidecars hear of a start at once: their first sends to it must not fall together.
-                (upstream.allowance, upstream.allowed_at) = (rng.rand_float(), now);
-            }
-        };
         match news {
-            ListNews::Restored(all) | ListNews::Complete(all) => self.roster.relist(&all, true, now, starts),
-            ListNews::Changed(some) => self.roster.relist(&some, false, now, starts),
+            ListNews::Restored(all) | ListNews::Complete(all) => self.roster.relist(&all, true, now, rng),
+            ListNews::Changed(some) => self.roster.relist(&some, false, now, rng),
             ListNews::Unavailable => out.push(Action::Log("server list unavailable".to_owned())),
         }
         if self.seen.kinds.len() > KINDS {
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -20,10 +20,11 @@
 pub(crate) const RATE_OVER: Millis = 5_000.0;
 /// Below this load in their reports, what servers could do cannot be told from what they do.
 const LOAD_FLOOR: f64 = 0.2;
-/// The share of a cold server's allowance that is used: speeds and costs are estimates.
+/// The share of a cold server's allowance that is saved up: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
-/// So many sends to a cold server may be saved up: many sidecars may spend theirs at once.
-const COLD_BURST: f64 = 2.0;
+/// So large a part of the whole allowance may be used before a margin is saved up: of independent chances that come
+/// to it, all together stay below the whole.
+const COLD_CHANCE: f64 = 0.75;
 /// Probes, where answers carry reports as well, may cost this part of what is earned, and so many may be
 /// saved up. Who sends to a server hears of it; most of what a probe tells is old before it is used.
 const PROBE_COST: f64 = 0.001;
@@ -39,8 +40,6 @@
     pub near: usize,
     /// Of which version of the roster, and since when.
     pub of: Option<(u64, Millis)>,
-    /// What falls to this sidecar of a warm one's capacity, once that was asked for.
-    capacity_share: Option<f64>,
 }
 
 impl Balancer {
@@ -77,7 +76,12 @@
         if self.reach.of.is_some_and(|(of, at)| of == version && self.now < at + RENEWED_AFTER) {
             return;
         }
-        let (share, rank) = self.share().unwrap_or((1.0, 0.0));
+        let serving = self.roster.sums(self.now).serving as f64;
+        let covered = COVERED_BY * serving / f64::from(self.settings.sidecars.max(1));
+        let wanted = self.seen.arrivals.at(self.now, RATE_OVER) * HEARD_EACH / 1_000.0;
+        // Who is not told its number draws from all.
+        let share = self.settings.rank.map_or(1.0, |_| wanted.max(covered).max(FEWEST) / serving);
+        let rank = f64::from(self.settings.rank.unwrap_or(0));
         let (mut members, mut near) = (std::mem::take(&mut self.reach.members), 0);
         members.clear();
         for (zone, ring) in self.roster.zones_from(own) {
@@ -94,75 +98,71 @@
             }
             near = if *zone == own { members.len() } else { near };
         }
-        self.reach = Reach { members, near, of: Some((version, self.now)), capacity_share: None };
+        self.reach = Reach { members, near, of: Some((version, self.now)) };
     }
 
-    /// The share of all servers that this sidecar draws from, and its number; `None` for all.
-    fn share(&mut self) -> Option<(f64, f64)> {
-        let rank = f64::from(self.settings.rank?);
-        let serving = self.roster.sums(self.now).serving as f64;
-        let covered = COVERED_BY * serving / f64::from(self.settings.sidecars.max(1));
-        let wanted = self.seen.arrivals.at(self.now, RATE_OVER) * HEARD_EACH / 1_000.0;
-        Some((wanted.max(covered).max(FEWEST) / serving, rank)).filter(|(share, _)| *share < 1.0)
-    }
-
-    /// The first two that are taken of these, in random order; the one there is, twice, where there is only one.
-    pub(crate) fn first_two(
-        &mut self,
-        ids: &mut [UpstreamId],
-        held: &Held,
-        view: &mut View,
-        near: bool,
-    ) -> Pair {
-        view.met.clear();
-        let mut first = None;
-        for at in 0..ids.len() {
-            ids.swap(at, self.rng.rand_range(at as u64..ids.len() as u64) as usize);
-            let Some(candidate) = self.candidate(ids[at], held, view) else { continue };
-            view.met.push(candidate);
-            let takes = view.takes(&candidate) && (!near || view.is_near(&candidate));
-            if takes && let Some(first) = first.replace(candidate) {
-                return Some([first, candidate]);
+    /// The first two that are taken in random order, near ones first; the one there is, twice, where there is only one.
+    pub(crate) fn first_two(&mut self, held: &Held, view: &mut View) -> Pair {
+        for (all, near) in [(view.near, true), (view.ids.len(), false)] {
+            view.met.clear();
+            let mut first = None;
+            for at in 0..all {
+                view.ids.swap(at, self.rng.rand_range(at as u64..all as u64) as usize);
+                let Some(this) = self.candidate(view.ids[at], held, view) else { continue };
+                view.met.push(this);
+                let open = view.is_open(&this) && (!near || view.is_near(&this));
+                let taken = open && self.admits(&this, held, view);
+                if taken && let Some(first) = first.replace(this) {
+                    return Some([first, this]);
+                }
+            }
+            if let Some(only) = first {
+                return Some([only, only]);
             }
         }
-        first.map(|only| [only, only])
+        None
     }
 
-    /// A random pair of distinct members; the one there is, twice, where there is only one.
-    pub(crate) fn pair(&mut self, open: &[Candidate]) -> Pair {
-        let count = (open.len() as u64).checked_sub(1)? + 1;
-        let first = self.rng.rand_range(0..count);
-        let step = if count > 1 { self.rng.rand_range(1..count) } else { 0 };
-        Some([first, (first + step) % count].map(|at| open[at as usize]))
-    }
-
-    /// The share of a warm server's capacity that falls to this sidecar, in requests a second: what it is
-    /// answered by a server is its part of what they do, and their reports tell which part that is of all they
-    /// could. Without any, and before them, they are taken to do all they can.
-    fn capacity_share(&self) -> f64 {
-        let members = self.reach.members.iter();
-        let heard: Vec<f64> = members
-            .filter_map(|id| self.roster.upstreams.get(id))
-            .filter(|upstream| self.now - upstream.reported_at <= RATE_OVER)
-            .map(|upstream| upstream.utilisation * upstream.warmth(self.now, &self.settings.safety))
-            .collect();
-        let count = self.reach.members.len().max(1) as f64;
-        if heard.is_empty() {
-            return self.seen.arrivals.at(self.now, RATE_OVER) * (1.0 - self.seen.refused) / count;
+    /// What a server may be sent a second. While it is cold all sidecars together must stay within a multiple of
+    /// what it can do, so this one within its share. What it is answered is its part of what servers do, and their
+    /// reports tell which part that is of all they could. Without any they are taken to do all they can.
+    pub(crate) fn allowed_per_s(&self, warmth: f64) -> f64 {
+        if warmth >= 1.0 {
+            return f64::INFINITY;
         }
-        let load = (heard.iter().sum::<f64>() / heard.len() as f64).max(LOAD_FLOOR);
-        self.seen.served.at(self.now, RATE_OVER) / load / count
+        let (seen, now) = (&self.seen, self.now);
+        let told = seen.load > 0.0 && seen.load_at.is_some_and(|at| now - at <= RATE_OVER);
+        let taken = seen.arrivals.at(now, RATE_OVER) * (1.0 - seen.refused);
+        let all = if told { seen.served.at(now, RATE_OVER) / seen.load.max(LOAD_FLOOR) } else { taken };
+        COLD_MARGIN * self.settings.safety.fall_multiple * warmth * all
+            / self.reach.members.len().max(1) as f64
     }
 
-    /// Sends that a server may be given now. While it is cold all sidecars together must stay within a multiple of
-    /// what it can do: each saves up its share, and those without any left look elsewhere.
-    pub(crate) fn allowance(&mut self, to: &Candidate) -> f64 {
-        let share = self.reach.capacity_share.unwrap_or_else(|| self.capacity_share());
-        self.reach.capacity_share = Some(share);
-        let Some(upstream) = self.roster.upstreams.get(&to.id) else { return 0.0 };
-        let per_s = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth * share;
-        let saved = per_s * (self.now - upstream.allowed_at).max(0.0) / 1_000.0;
-        (upstream.allowance + saved).min(COLD_BURST)
+    /// Whether a server may be sent this request. A cold one's share far below one call in a warm-up becomes a
+    /// chance of one: who waited until a whole one is saved up would send none before the server is warm. So one
+    /// may be borrowed, and who would be picked more often than the settings allow takes part in so much fewer
+    /// draws; the margin is kept by what is saved. A further attempt that is bound to few servers comes in no
+    /// such steady stream and needs a whole call.
+    pub(crate) fn admits(&self, to: &Candidate, held: &Held, view: &mut View) -> bool {
+        if to.warmth >= 1.0 || held.bound() || to.allowance < 0.0 {
+            return to.warmth >= 1.0 || to.allowance >= 1.0;
+        }
+        let near = usize::from(view.is_near(to));
+        let open = view.open.take().unwrap_or_else(|| {
+            let all = view.ids.iter().filter_map(|id| self.candidate(*id, held, view));
+            let mut open = [Vec::new(), Vec::new()];
+            all.filter(|c| view.is_open(c))
+                .for_each(|c| open[usize::from(view.is_near(&c))].push(c.projected));
+            open.iter_mut().for_each(|projected| projected.sort_unstable_by(f64::total_cmp));
+            open
+        });
+        let peers = open[near].len() as f64;
+        let worse = peers - 1.0 - open[near].partition_point(|other| *other < to.projected) as f64;
+        view.open = Some(open);
+        // It is one of a random pair of them, and the better one.
+        let picked = if peers > 1.0 { 2.0 / peers * worse / (peers - 1.0) } else { 1.0 };
+        let often = picked * self.seen.arrivals.at(self.now, RATE_OVER);
+        view.lot * often * COLD_MARGIN < COLD_CHANCE * to.allowed_per_s
     }
 
     /// Probes that may be sent for each request. Each sidecar pays for its own, the fleet for all of them.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -3,6 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use oorandom::Rand64;
+
 use crate::api::*;
 use crate::state::*;
 
@@ -130,15 +132,9 @@
         self.version += u64::from(upstream.health != health);
     }
 
-    /// Takes over what discovery says, and what comes with it. Who is missing from a whole list is gone; who does
-    /// not serve any more is forgotten once nothing is out there.
-    pub fn relist(
-        &mut self,
-        list: &[Listing],
-        whole: bool,
-        now: Millis,
-        mut init: impl FnMut(&mut Upstream),
-    ) {
+    /// Takes over what discovery says. Who is missing from a whole list is gone; who does not serve any more is
+    /// forgotten once nothing is out there.
+    pub fn relist(&mut self, list: &[Listing], whole: bool, now: Millis, rng: &mut Rand64) {
         if whole {
             self.upstreams.values_mut().for_each(|upstream| upstream.serving = false);
             (self.zones, self.cells) = Default::default();
@@ -150,7 +146,10 @@
             }
             let upstream = self.upstreams.entry(entry.upstream).or_insert_with(|| Upstream::new(entry));
             upstream.relist(entry);
-            init(upstream);
+            if upstream.started.is_some() && upstream.allowed_at == f64::NEG_INFINITY {
+                // Many sidecars hear of a start at once: their first sends to it must not fall together.
+                (upstream.allowance, upstream.allowed_at) = (rng.rand_float(), now);
+            }
             if !whole {
                 self.place(entry.upstream, now, true);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,8 +40,16 @@
         let deadline = arrived + time_left;
         Held { class, tenant, arrived, deadline, cost: None, size: 1.0, tries: Vec::new() }
     }
+
+    /// Whether it may have run already, so that not every server will do.
+    pub fn bound(&self) -> bool {
+        self.tries.iter().any(|t| t.out || t.may_have_run)
+    }
 }
 
+/// So many sends to a cold server may be saved up: many sidecars may spend theirs at once.
+const COLD_BURST: f64 = 2.0;
+
 /// One of our sends that a server has not answered.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Outstanding {
@@ -154,7 +162,7 @@
 }
 
 /// What one sidecar has learnt of its surroundings as a whole.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Learnt {
     /// By class.
     pub service: Vec<Service>,
@@ -177,6 +185,10 @@
     /// Arrivals and good answers, a second.
     pub arrivals: Rate,
     pub served: Rate,
+    /// What servers do as a part of what they can do warm, by their reports, and when the last one came or
+    /// the first list.
+    pub load: f64,
+    pub load_at: Option<Millis>,
     /// When the first report came.
     pub first_at: Option<Millis>,
     /// The span over which the next call to discovery is spread, and whether one is to come.
@@ -185,24 +197,17 @@
 }
 
 impl Learnt {
+    /// Averages in how much of what it can do warm a server does, over the same time as what is answered and from
+    /// nothing like it: by the load of this moment alone, what a server did warm would tell what it can do cold.
+    pub fn loaded(&mut self, used: f64, now: Millis, over: Millis) {
+        let told = 1.0 - (-(now - self.load_at.unwrap_or(now)) / over).exp();
+        self.load += told * (used - self.load);
+        self.load_at = Some(now);
+    }
+
     pub fn new(service: Vec<Service>, tenants: usize, retry_tokens: f64) -> Learnt {
-        Learnt {
-            service,
-            kinds: BTreeMap::new(),
-            fleet: Kind::default(),
-            refused: 0.0,
-            retry_tokens,
-            probe_tokens: 0.0,
-            room_scale: 1.0,
-            ended_at: f64::NEG_INFINITY,
-            usual_density: None,
-            tenant_shares: vec![0.0; tenants],
-            arrivals: Rate::default(),
-            served: Rate::default(),
-            first_at: None,
-            ask_wait: 0.0,
-            ask_pending: false,
-        }
+        let (ended_at, tenant_shares) = (f64::NEG_INFINITY, vec![0.0; tenants]);
+        Learnt { service, retry_tokens, room_scale: 1.0, ended_at, tenant_shares, ..Learnt::default() }
     }
 }
 
@@ -226,8 +231,6 @@
     pub kappa: Option<f64>,
     /// Running mean of the reports.
     pub mean_in_flight: f64,
-    /// The last report's.
-    pub utilisation: f64,
     /// Running mean of what its reports hold beyond our own sends.
     pub others: f64,
     pub reported_at: Millis,
@@ -252,8 +255,10 @@
     pub near: bool,
     pub healthy: bool,
     pub warmth: f64,
-    /// Sends that a cold one may be given now; a warm one any number.
+    /// Sends that a cold one may be given now.
     pub allowance: f64,
+    /// How fast a cold one's allowance grows.
+    pub allowed_per_s: f64,
     pub projected: f64,
     /// How many times its own service time an answer is expected to take, for the queue before it.
     pub depth: f64,
@@ -276,31 +281,35 @@
 
 /// What a request needs to know of all servers to see one.
 pub(crate) struct View {
-    /// The longest expected answer there is room for.
+    /// Where it may go; so many of them, the first ones, are near.
+    pub ids: Vec<UpstreamId>,
+    pub near: usize,
+    /// The longest expected answer there is room for, and for which crossing does not pay.
     pub room: Millis,
-    /// The longest for which crossing does not pay.
     pub near_limit: Millis,
     /// What other sidecars have at the mean known server, which stands in for what is not known of others.
     pub others: f64,
     /// The failure rate of the mean server.
     pub failures: f64,
-    /// Who was looked at.
+    /// Who was looked at, in random order.
     pub met: Vec<Candidate>,
+    /// Whether everyone looks bad: rather ask someone than no one.
+    pub anyone: bool,
+    /// For cold ones, drawn once: with one for each, some would be in at any time.
+    pub lot: f64,
+    /// The projected utilisations of those with room, sorted: of the far ones and of the near ones.
+    pub open: Option<[Vec<f64>; 2]>,
 }
 
 impl View {
     /// An idle server always has room: else a service time learnt in a jam would lock everyone out.
-    pub fn has_room(&self, candidate: &Candidate) -> bool {
-        candidate.idle || candidate.wait <= self.room
+    pub fn is_open(&self, candidate: &Candidate) -> bool {
+        (candidate.healthy || self.anyone) && (candidate.idle || candidate.wait <= self.room)
     }
 
     pub fn is_near(&self, candidate: &Candidate) -> bool {
         candidate.near && candidate.wait <= self.near_limit
     }
-
-    pub fn takes(&self, candidate: &Candidate) -> bool {
-        candidate.healthy && self.has_room(candidate) && candidate.allowance >= 1.0
-    }
 }
 
 impl Upstream {
@@ -315,7 +324,6 @@
             started: entry.started,
             kappa: None,
             mean_in_flight: 0.0,
-            utilisation: 0.0,
             others: 0.0,
             reported_at: f64::NEG_INFINITY,
             probe_sent: None,
@@ -355,6 +363,11 @@
         }
     }
 
+    /// Sends that it may be given now while it is cold: what was saved up.
+    pub fn allowance(&self, per_s: f64, now: Millis) -> f64 {
+        (self.allowance + per_s * (now - self.allowed_at).max(0.0) / 1_000.0).min(COLD_BURST)
+    }
+
     /// Strikes a send off the books.
     pub fn take(&mut self, request: RequestId, attempt: AttemptNo) -> Option<Outstanding> {
         let matching = |o: &Outstanding| o.request == request && o.attempt == attempt;
--- a/tests/unit/incremental.rs
+++ b/tests/unit/incremental.rs
@@ -264,6 +264,23 @@
         }
     }
 
+    /// Whether a cold server takes part, its chance counted from all that are open.
+    fn admitted(&self, c: &Candidate, held: &Held, view: &View, open: &[Candidate]) -> bool {
+        if c.warmth >= 1.0 {
+            return true;
+        }
+        if held.bound() {
+            return c.allowance >= 1.0;
+        }
+        let peers: Vec<&Candidate> =
+            open.iter().filter(|other| other.id != c.id && view.is_near(other) == view.is_near(c)).collect();
+        let worse = peers.iter().filter(|other| other.projected >= c.projected).count() as f64;
+        let count = peers.len() as f64;
+        let picked = if count > 0.0 { 2.0 / (count + 1.0) * worse / count } else { 1.0 };
+        let arrivals = self.balancer.seen.arrivals.at(self.balancer.now, RATE_OVER);
+        c.allowance >= 0.0 && view.lot * picked * arrivals * 0.5 < 0.75 * c.allowed_per_s
+    }
+
     /// A new request, and one of each class that has failed at the first server, draw what they may.
     fn check_draws(&mut self) {
         let now = self.balancer.now;
@@ -282,21 +299,24 @@
             let serving = |id: &UpstreamId| self.balancer.roster.upstreams[id].serving;
             let reachable: Vec<UpstreamId> =
                 ids.into_iter().filter(|id| serving(id) && self.may_reach(&held, *id, &members)).collect();
-            // A cell may lie in several zones here; which of its servers are near is then not told first.
+            // The same lot for cold servers as the draw has.
+            let rng = self.balancer.rng;
             let mut view = self.balancer.view(&held);
+            self.balancer.rng = rng;
             let all: Vec<Candidate> =
                 reachable.iter().filter_map(|id| self.balancer.candidate(*id, &held, &view)).collect();
             let mut open: Vec<Candidate> = all.iter().filter(|c| c.healthy).copied().collect();
             if open.is_empty() {
+                view.anyone = true;
                 open = all.clone();
             }
-            open.retain(|c| view.has_room(c));
+            open.retain(|c| c.idle || c.wait <= view.room);
             let had_room = !open.is_empty();
-            open.retain(|c| c.allowance >= 1.0);
+            let peers = open.clone();
+            open.retain(|c| self.admitted(c, &held, &view, &peers));
             if open.iter().any(|c| view.is_near(c)) {
                 open.retain(|c| view.is_near(c));
             }
-            view.met.clear();
             let (room, others, pair) = self.balancer.draw(&held, &mut Vec::new());
             assert_eq!((room, others), (had_room, all.len() > 1));
             let open: BTreeSet<UpstreamId> = open.iter().map(|c| c.id).collect();
