Measure a cold server's share by all that are drawn from, also for attempts bound to a cell

Cause: `survey` handed `capacity_share` the candidates of the request, which for a further attempt bound to a cell or zone are its few servers only (src/brain.rs, src/reach.rs): all that the sidecar is answered was divided by these few.

Change: such attempts divide by all servers that the sidecar draws from, as first attempts do.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -249,7 +249,7 @@
             });
         }
         if candidates.iter().any(|c| c.warmth < 1.0) {
-            let share = self.capacity_share(candidates.len());
+            let share = self.capacity_share(held, candidates.len());
             candidates.iter_mut().for_each(|c| self.allow(c, share));
         }
         candidates
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -94,11 +94,12 @@
         self.rings = rings;
     }
 
-    /// The share of a warm server's capacity that falls to this sidecar, in requests a second, where it draws from
-    /// so many: what it is answered is its part of what they do, and their reports tell which part that is of all
-    /// they could. Without any they are taken to do all they can.
-    pub(crate) fn capacity_share(&self, count: usize) -> f64 {
-        let count = count.max(1) as f64;
+    /// The share of a warm server's capacity that falls to this sidecar, in requests a second: what it is answered
+    /// is its part of what they do, and their reports tell which part that is of all they could. Without any they
+    /// are taken to do all they can. The few that a request is bound to do no more of it than others.
+    pub(crate) fn capacity_share(&self, held: &Held, candidates: usize) -> f64 {
+        let all = || self.members().map_or(self.rings.values().map(Vec::len).sum(), |members| members.len());
+        let count = if held.bound() { all() } else { candidates }.max(1) as f64;
         if self.seen.load <= 0.0 || self.seen.load_at.is_none_or(|at| self.now - at > RATE_OVER) {
             return self.seen.arrivals.at(self.now, RATE_OVER) * (1.0 - self.seen.refused) / count;
         }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -1,9 +1,12 @@
 //! Cold servers fall under the sum of what all sidecars send, each knowing nothing of the others. Beyond their budget
 //! of N requests only 2 roots of N and 2 more are put down to chance.
 
+mod common;
 mod fleet_stage;
 
+use common::{BY_CELL, Stage, listing, sent_to, settings};
 use fleet_stage::*;
+use sagemast::api::*;
 
 /// Plays a plan; no cold server may be sent more than it bears in any window.
 fn holds(name: &str, plan: &Plan) -> Used {
@@ -118,3 +121,37 @@
         }
     }
 }
+
+/// The allowance of a cold server was taken from the few that a bound attempt may go to, as if they did all the work.
+#[test]
+fn an_attempt_bound_to_one_cell_measures_a_cold_server_by_all_that_are_drawn_from() {
+    const SECONDS: f64 = 10.0;
+    const PER_S: f64 = 200.0;
+    let mut settings = settings();
+    settings.safety = Safety { cold_share: 0.05, warm_up: 1e9, ..settings.safety };
+    let allowed_per_s = settings.safety.fall_multiple * settings.safety.cold_share * PER_S / 20.0;
+    // Two servers of one cell, one of them cold, and eighteen that have a cell each.
+    let cold = Listing { started: Some(1_000.0), ..listing(2) };
+    let others = (1..=18).map(|cell| listing(10 * cell));
+    let mut stage = Stage::new(settings, [listing(1), cold].into_iter().chain(others).collect());
+    let (mut unanswered, mut to_cold) = (0, 0);
+    for _ in 0..(SECONDS * PER_S) as usize {
+        stage.now += 1_000.0 / PER_S;
+        let (request, actions) = stage.arrive(BY_CELL);
+        let Some(first) = sent_to(&actions) else { continue };
+        to_cold += usize::from(first.0 == 2);
+        // The warm one of the two never gets to answer: it may have run.
+        unanswered += usize::from(first.0 == 1);
+        let outcome = if first.0 == 1 { Outcome::Cancelled } else { Outcome::Ok };
+        let actions = stage.finish(request, 0, first, outcome, 2.0);
+        let Some(next) = sent_to(&actions) else { continue };
+        to_cold += usize::from(next.0 == 2);
+        stage.finish(request, 1, next, Outcome::Ok, 2.0);
+    }
+    assert!(unanswered > 20, "only {unanswered} to be sent on within the cell");
+    let allowed = allowed_per_s * SECONDS;
+    assert!(
+        (1.0..=allowed).contains(&f64::from(to_cold as u32)),
+        "{to_cold} to the cold one, {allowed} allowed"
+    );
+}
