The hollow fleet's watches wait with the jitter that the real ones have

Cause: benches/hollow/stage.rs models src/net/discovery.rs by its constants; the waits between calls have full jitter since, and a watch that fell silent is opened anew after 50 ms at most. Change: the stage draws its waits likewise.

--- a/benches/hollow/stage.rs
+++ b/benches/hollow/stage.rs
@@ -470,7 +470,7 @@
                 self.sidecars[sidecar].watch += 1;
                 // Where lists are pushed, a watch that has ended is followed by a wait; one that the module
                 // asked for is opened again at once.
-                if self.pushed() { self.back_off(sidecar) } else { self.call(sidecar) }
+                if self.pushed() { self.back_off(sidecar, true) } else { self.call(sidecar) }
             }
             What::Wake { .. }
             | What::Call { .. }
@@ -1020,7 +1020,8 @@
             // It tries on at its pace where it keeps the watch by itself.
             Err(_) if again => {
                 let pace = (self.plan.drain_grace * 1e3 * PACE_SHARE).clamp(PACE[0], PACE[1]);
-                self.after(pace as Micros, What::Call { sidecar, watch });
+                let wait = self.within(0.0, pace);
+                self.after(wait, What::Call { sidecar, watch });
             }
             Err(hangs) => self.after(if hangs { CALL } else { 500 }, What::CallFailed { sidecar, watch }),
         }
@@ -1056,18 +1057,20 @@
         self.sidecars[sidecar].open = false;
         self.sidecars[sidecar].watch += 1;
         if self.pushed() {
-            self.back_off(sidecar);
+            self.back_off(sidecar, false);
         } else {
             self.sidecars[sidecar].told_since_open = false;
             self.event(sidecar, Event::Listed(ListNews::Unavailable));
         }
     }
 
-    fn back_off(&mut self, sidecar: usize) {
+    /// One that fell silent has taken its time already.
+    fn back_off(&mut self, sidecar: usize, silent: bool) {
         let pace = (self.plan.drain_grace * 1e3 * PACE_SHARE).clamp(PACE[0], PACE[1]) as Micros;
         let of = &mut self.sidecars[sidecar];
-        of.back_off = if of.told_since_open { BACK_OFF } else { (2 * of.back_off).min(pace) };
-        let (wait, watch) = (of.back_off, of.watch);
+        of.back_off = if of.told_since_open || silent { BACK_OFF } else { (2 * of.back_off).min(pace) };
+        let (longest, watch) = (of.back_off, of.watch);
+        let wait = self.within(0.0, longest as f64);
         self.after(wait, What::Call { sidecar, watch });
     }
 
