Hold a slower kind of cold machine for less, and lower the chance of a call to 0.6

Cause: `allow` (src/reach.rs) gave every cold server the share of a mean one.

Change: a kind slower than the mean, by its answers, is held for so much less; the chance is at most 0.6 of what the settings allow, 0.75 before.

--- a/src/reach.rs
+++ b/src/reach.rs
@@ -18,11 +18,11 @@
 pub(crate) const RATE_OVER: Millis = 5_000.0;
 /// Below this load in their reports, what servers could do cannot be told from what they do.
 const LOAD_FLOOR: f64 = 0.2;
-/// The share of a cold server's allowance that is saved up: speeds and costs are estimates.
+/// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
-/// So large a part of the whole allowance may be used before a margin is saved up: of independent chances that come
-/// to it, all together stay below the whole.
-const COLD_CHANCE: f64 = 0.75;
+/// So large a part of the whole allowance may be used by chance before a margin is saved up: further attempts come on
+/// top, and the chances of all together have to stay below the whole.
+const COLD_CHANCE: f64 = 0.6;
 /// So many sends to a cold server may be saved up: many sidecars may spend theirs at once.
 const COLD_BURST: f64 = 2.0;
 /// Probes, where answers carry reports as well, may cost this part of what is earned, and so many may be
@@ -120,15 +120,18 @@
     /// what it can do: each saves up its share.
     pub(crate) fn allow(&self, to: &mut Candidate, capacity_share: f64) {
         let Some(upstream) = self.upstreams.get(&to.id).filter(|_| to.warmth < 1.0) else { return };
-        to.allowed_per_s = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth * capacity_share;
+        // A kind of machine that is slower than the mean can do less; a faster one is held for no more.
+        let pace = self.seen.kinds.get(&upstream.kind).map_or(1.0, |kind| kind.pace / self.seen.fleet.pace);
+        let warm_per_s = capacity_share / pace.max(1.0);
+        to.allowed_per_s = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth * warm_per_s;
         let saved = to.allowed_per_s * (self.now - upstream.allowed_at).max(0.0) / 1_000.0;
         to.allowance = (upstream.allowance + saved).min(COLD_BURST);
     }
 
     /// Leaves out cold servers that may not be sent this request. A share far below one call in a warm-up becomes
     /// a chance of one: who waited until a whole one is saved up would send none before the server is warm. So
-    /// one call may be borrowed, and who would be picked more often than the settings allow takes part in so
-    /// much fewer draws; the margin is kept by what is saved. A further attempt that is bound to few servers
+    /// one call may be borrowed, and who would be picked more often than its share grows takes part in so much
+    /// fewer draws. A further attempt that is bound to few servers
     /// comes in no such steady stream and needs a whole call.
     pub(crate) fn admit(
         &mut self,
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -98,6 +98,15 @@
     }
 }
 
+/// All have come back cold, and a third of them can do half as much as another third.
+#[test]
+fn slower_machines_stay_within_their_own_budget() {
+    for (load, ranked, seed) in [(0.9, true, 12), (0.9, false, 11), (2.0, true, 10), (2.0, false, 12)] {
+        let plan = Plan { load, ranked, spread: 1.4, ..Plan::new(300, 30, 30, seed) };
+        holds("slower", &Plan { until: START + 5_000.0, ..plan });
+    }
+}
+
 /// A new process knows nothing of what the one before it has sent.
 #[test]
 fn restarts_in_the_middle_stay_within_the_budget() {
