--- a/src/reach.rs
+++ b/src/reach.rs
@@ -20,11 +20,11 @@
 pub(crate) const RATE_OVER: Millis = 5_000.0;
 /// Below this load in their reports, what servers could do cannot be told from what they do.
 const LOAD_FLOOR: f64 = 0.2;
-/// The share of a cold server's allowance that is saved up: speeds and costs are estimates.
+/// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
-/// So large a part of the whole allowance may be used before a margin is saved up: of independent chances that come
-/// to it, all together stay below the whole.
-const COLD_CHANCE: f64 = 0.75;
+/// So large a part of the whole allowance may be used by chance before a margin is saved up: further attempts
+/// come on top, and the chances of all together have to stay below the whole.
+const COLD_CHANCE: f64 = 0.6;
 /// Probes, where answers carry reports as well, may cost this part of what is earned, and so many may be
 /// saved up. Who sends to a server hears of it; most of what a probe tells is old before it is used.
 const PROBE_COST: f64 = 0.001;
@@ -126,7 +126,7 @@
     /// What a server may be sent a second. While it is cold all sidecars together must stay within a multiple of
     /// what it can do, so this one within its share. What it is answered is its part of what servers do, and their
     /// reports tell which part that is of all they could. Without any they are taken to do all they can.
-    pub(crate) fn allowed_per_s(&self, warmth: f64) -> f64 {
+    pub(crate) fn allowed_per_s(&self, kind: KindId, warmth: f64) -> f64 {
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
@@ -134,8 +134,10 @@
         let told = seen.load > 0.0 && seen.load_at.is_some_and(|at| now - at <= RATE_OVER);
         let taken = seen.arrivals.at(now, RATE_OVER) * (1.0 - seen.refused);
         let all = if told { seen.served.at(now, RATE_OVER) / seen.load.max(LOAD_FLOOR) } else { taken };
-        COLD_MARGIN * self.settings.safety.fall_multiple * warmth * all
-            / self.reach.members.len().max(1) as f64
+        // A kind of machine that is slower than the mean can do less; a faster one is held for no more.
+        let pace = seen.kinds.get(&kind).map_or(1.0, |kind| (kind.pace / seen.fleet.pace).max(1.0));
+        let share = all / self.reach.members.len().max(1) as f64 / pace;
+        COLD_MARGIN * self.settings.safety.fall_multiple * warmth * share
     }
 
     /// Whether a server may be sent this request. A cold one's share far below one call in a warm-up becomes a
