--- a/src/brain.rs
+++ b/src/brain.rs
@@ -233,7 +233,7 @@
         let fails = if upstream.health == Health::Ready { upstream.failures(self.now) } else { 0.0 };
         let more = fails - view.failures;
         let failing = if more > FAILS_MORE { more.min(0.9) } else { 0.0 };
-        let allowed_per_s = self.allowed_per_s(warmth);
+        let allowed_per_s = self.allowed_per_s(upstream.kind, warmth);
         Some(Candidate {
             id,
             near: upstream.zone == self.settings.zone && failing == 0.0,
--- a/tests/unit/incremental.rs
+++ b/tests/unit/incremental.rs
@@ -278,7 +278,7 @@
         let count = peers.len() as f64;
         let picked = if count > 0.0 { 2.0 / (count + 1.0) * worse / count } else { 1.0 };
         let arrivals = self.balancer.seen.arrivals.at(self.balancer.now, RATE_OVER);
-        c.allowance >= 0.0 && view.lot * picked * arrivals * 0.5 < 0.75 * c.allowed_per_s
+        c.allowance >= 0.0 && view.lot * picked * arrivals * 0.5 < 0.6 * c.allowed_per_s
     }
 
     /// A new request, and one of each class that has failed at the first server, draw what they may.
