One ring a zone that holds the cells as well, and no more memory than before

Change: an entry of a zone's ring names its cell; an attempt bound to a cell looks through its zone's ring. When a server was probed last is a time without a tag.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -316,11 +316,11 @@
 
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
         let Some(upstream) = self.roster.upstreams.get_mut(&id) else { return };
-        let waiting = upstream.probe_sent.is_some_and(|sent| self.now - sent < STALE);
+        let waiting = self.now - upstream.probe_sent < STALE;
         let wanted = !waiting && self.now - upstream.reported_at > STALE;
         if self.settings.limits.probes && wanted && self.seen.probe_tokens >= 1.0 {
             self.seen.probe_tokens -= 1.0;
-            upstream.probe_sent = Some(self.now);
+            upstream.probe_sent = self.now;
             out.push(Action::Probe(id));
         }
     }
@@ -447,7 +447,7 @@
 
     fn heard(&mut self, id: UpstreamId, answered: bool, report: Option<Report>) {
         let Some(upstream) = self.roster.upstreams.get_mut(&id) else { return };
-        upstream.probe_sent = None;
+        upstream.probe_sent = f64::NEG_INFINITY;
         if let (Some(report), true) = (report, answered) {
             self.take_report(id, report, 1.0);
         }
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -3,7 +3,6 @@
 
 use crate::api::*;
 use crate::brain::Balancer;
-use crate::roster::Ring;
 use crate::state::*;
 
 /// A sidecar draws from no fewer servers than this, so that none has many eggs in a basket that breaks.
@@ -57,14 +56,16 @@
             Effect::ByKey { .. } | Effect::Once => return (Vec::new(), 0),
         };
         // What may go to few servers only may go to any of them.
-        let ids = |ring: &Ring| ring.iter().map(|(_, id)| *id).collect::<Vec<_>>();
-        let (ids, zone) = match scope {
-            Scope::All => (self.roster.zones_from(own).flat_map(|(_, ring)| ids(ring)).collect(), own),
-            Scope::Zone => (self.roster.zones.get(&first.zone).map(ids).unwrap_or_default(), first.zone),
-            Scope::Cell => (self.roster.cells.get(&first.cell).map(ids).unwrap_or_default(), first.zone),
-        };
-        let of_zone = self.roster.zones.get(&own).map_or(0, Ring::len).min(ids.len());
-        (ids, if zone == own { of_zone } else { 0 })
+        let zone = if scope == Scope::All { own } else { first.zone };
+        let in_scope = |cell: &CellId| scope != Scope::Cell || *cell == first.cell;
+        let ring = self.roster.zones.get(&zone).map_or(&[][..], Vec::as_slice);
+        let mut ids: Vec<UpstreamId> = ring.iter().filter(|r| in_scope(&r.2)).map(|r| r.1).collect();
+        let near = if zone == own { ids.len() } else { 0 };
+        if scope == Scope::All {
+            let others = self.roster.zones.iter().filter(|(zone, _)| **zone != own);
+            ids.extend(others.flat_map(|(_, ring)| ring).map(|(_, id, _)| *id));
+        }
+        (ids, near)
     }
 
     /// Of many sidecars each draws from a stretch of the ring of every zone that begins at a place of its own:
@@ -89,7 +90,7 @@
             let start = ((rank + 1.0) * GOLDEN + zone.0 as f64 * GOLDEN * GOLDEN).fract();
             let (before, from) = ring.split_at((start * ring.len() as f64) as usize);
             let mut wanted = share * ring.len() as f64;
-            for (_, id) in from.iter().chain(before) {
+            for (_, id, _) in from.iter().chain(before) {
                 let Some(upstream) = self.roster.upstreams.get(id).filter(|_| wanted > 0.0) else { break };
                 members.push(*id);
                 if upstream.health == Health::Ready {
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -18,8 +18,8 @@
 /// No more is at one server in earnest; sums over hundreds of thousands of them hold it.
 const MOST: f64 = 1e6;
 
-/// The serving servers of a zone or a cell, in the order that all sidecars share.
-pub(crate) type Ring = Vec<(u64, UpstreamId)>;
+/// The serving servers of a zone, with their cells, in the order that all sidecars share.
+pub(crate) type Ring = Vec<(u64, UpstreamId, CellId)>;
 
 /// Sums over the serving servers.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -42,7 +42,6 @@
     /// What a sum is kept of changes by `change` alone.
     pub upstreams: BTreeMap<UpstreamId, Upstream>,
     pub zones: BTreeMap<ZoneId, Ring>,
-    pub cells: BTreeMap<CellId, Ring>,
     sums: Sums,
     /// Reports as they came: the first to grow stale comes first. A later one of the same server takes its place.
     reports: VecDeque<(Millis, UpstreamId)>,
@@ -137,7 +136,7 @@
     pub fn relist(&mut self, list: &[Listing], whole: bool, now: Millis, rng: &mut Rand64) {
         if whole {
             self.upstreams.values_mut().for_each(|upstream| upstream.serving = false);
-            (self.zones, self.cells) = Default::default();
+            self.zones.clear();
             self.sums = Sums { since: self.sums.since, at: now, ..Sums::default() };
         }
         for entry in list {
@@ -156,7 +155,7 @@
         }
         if whole {
             // In the order of the rings each goes to their ends.
-            let mut all: Ring = self.upstreams.iter().map(|(id, upstream)| (upstream.spot, *id)).collect();
+            let mut all: Vec<_> = self.upstreams.iter().map(|(id, upstream)| (upstream.spot, *id)).collect();
             all.sort_unstable();
             all.iter().for_each(|(_, id)| self.place(*id, now, true));
         }
@@ -172,25 +171,21 @@
         self.version += 1;
     }
 
-    /// Puts a server in its places on the rings and counts it, or takes it out.
+    /// Puts a server in its place on the ring of its zone and counts it, or takes it out.
     fn place(&mut self, id: UpstreamId, now: Millis, there: bool) {
         let Some(upstream) = self.upstreams.get(&id) else { return };
-        if upstream.serving {
-            self.sums.count(upstream, now, if there { 1 } else { -1 });
-            place(&mut self.zones, upstream.zone, (upstream.spot, id), there);
-            place(&mut self.cells, upstream.cell, (upstream.spot, id), there);
-        } else {
+        if !upstream.serving {
             self.leaving.insert(id);
+            return;
+        }
+        self.sums.count(upstream, now, if there { 1 } else { -1 });
+        let spot = (upstream.spot, id, upstream.cell);
+        let ring = self.zones.entry(upstream.zone).or_default();
+        match ring.binary_search(&spot) {
+            Err(at) if there => ring.insert(at, spot),
+            Ok(at) if !there && ring.len() > 1 => drop(ring.remove(at)),
+            Ok(_) if !there => drop(self.zones.remove(&upstream.zone)),
+            _ => {}
         }
-    }
-}
-
-fn place<K: Ord + Copy>(rings: &mut BTreeMap<K, Ring>, key: K, spot: (u64, UpstreamId), there: bool) {
-    let ring = rings.entry(key).or_default();
-    match ring.binary_search(&spot) {
-        Err(at) if there => ring.insert(at, spot),
-        Ok(at) if !there && ring.len() > 1 => drop(ring.remove(at)),
-        Ok(_) if !there => drop(rings.remove(&key)),
-        _ => {}
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -234,7 +234,8 @@
     /// Running mean of what its reports hold beyond our own sends.
     pub others: f64,
     pub reported_at: Millis,
-    pub probe_sent: Option<Millis>,
+    /// When it was asked last, if it has not answered.
+    pub probe_sent: Millis,
     pub outstanding: Vec<Outstanding>,
     /// Service time relative to the mean of all servers.
     pub slowness: f64,
@@ -326,7 +327,7 @@
             mean_in_flight: 0.0,
             others: 0.0,
             reported_at: f64::NEG_INFINITY,
-            probe_sent: None,
+            probe_sent: f64::NEG_INFINITY,
             outstanding: Vec::new(),
             slowness: 1.0,
             learnt_at: f64::NEG_INFINITY,
--- a/tests/unit/incremental.rs
+++ b/tests/unit/incremental.rs
@@ -189,14 +189,12 @@
         let failures: f64 = serving.iter().map(|(_, upstream)| upstream.failures(now)).sum();
         let usual = failures / serving.len().max(1) as f64;
         assert!((kept.usual_failures(now) - usual).abs() < 1e-9, "{} {usual}", kept.usual_failures(now));
-        let mut zones: BTreeMap<ZoneId, Vec<(u64, UpstreamId)>> = BTreeMap::new();
-        let mut cells: BTreeMap<CellId, Vec<(u64, UpstreamId)>> = BTreeMap::new();
+        let mut zones: BTreeMap<ZoneId, Vec<(u64, UpstreamId, CellId)>> = BTreeMap::new();
         for (id, upstream) in serving {
-            zones.entry(upstream.zone).or_default().push((upstream.spot, *id));
-            cells.entry(upstream.cell).or_default().push((upstream.spot, *id));
+            zones.entry(upstream.zone).or_default().push((upstream.spot, *id, upstream.cell));
         }
-        zones.values_mut().chain(cells.values_mut()).for_each(|ring| ring.sort());
-        assert_eq!((&zones, &cells), (&roster.zones, &roster.cells));
+        zones.values_mut().for_each(|ring| ring.sort());
+        assert_eq!(zones, roster.zones);
     }
 
     /// The working set, as it was worked out anew for every request before it was kept.
@@ -206,7 +204,7 @@
         let covered = 10.0 * serving / f64::from(b.settings.sidecars);
         let share = b.seen.arrivals.at(b.now, RATE_OVER).max(covered).max(12.0) / serving;
         if share >= 1.0 || serving == 0.0 {
-            return b.roster.zones.values().flatten().map(|(_, id)| *id).collect();
+            return b.roster.zones.values().flatten().map(|(_, id, _)| *id).collect();
         }
         let mut members = BTreeSet::new();
         for (zone, ring) in &b.roster.zones {
@@ -214,7 +212,7 @@
             let start = (3.0 * golden + zone.0 as f64 * golden * golden).fract();
             let start = (start * ring.len() as f64) as usize;
             let mut wanted = share * ring.len() as f64;
-            for (_, id) in ring[start..].iter().chain(&ring[..start]) {
+            for (_, id, _) in ring[start..].iter().chain(&ring[..start]) {
                 if wanted <= 0.0 {
                     break;
                 }
