Count what is held when descriptors run out, not when clients have left since

Cause: after a failed accept client.rs `serve` slept 20 ms and took off the clients that had ended before it handled the lack (biased select), so Descriptors::shrink counted next to nothing and left one connection on each side, for good; counted again while connections over the limit closed it would have done so as well. Idle clients then took that one in turn, 2.2 s each. Change: a failed accept counts at once; within 1 s of a count, while the rest is closed, it is not counted again.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -212,14 +212,7 @@
         tokio::select! {
             biased;
             Some(ended) = connections.join_next_with_id() => forget(&mut slots, ended),
-            () = descriptors.lacked() => {
-                if descriptors.shrink(connections.len()) {
-                    let each = descriptors.each();
-                    log::line(format!("out of descriptors: from now on {each} connections on each side"));
-                    let _ = front.happenings.send(Happening::OutOfDescriptors);
-                }
-                slots.make_room_down_to(stay(descriptors.each()));
-            }
+            () = descriptors.lacked() => out_of_descriptors(&descriptors, &front, connections.len(), &mut slots),
             accepted = listener.accept(), if room => match accepted {
                 Ok((stream, _)) => {
                     let free_since = AtomicU64::new(slots.millis());
@@ -232,7 +225,8 @@
                 Err(error) => {
                     log::line(format!("cannot accept: {error}"));
                     if is_lack(&error) {
-                        descriptors.lack();
+                        // Now: clients that leave meanwhile would make what is held look less.
+                        out_of_descriptors(&descriptors, &front, connections.len(), &mut slots);
                     } else {
                         slots.make_room();
                     }
@@ -247,6 +241,16 @@
     }
 }
 
+/// There was no descriptor while so many clients were connected.
+fn out_of_descriptors(descriptors: &Descriptors, front: &Front, clients: usize, slots: &mut Slots) {
+    if descriptors.shrink(clients) {
+        let each = descriptors.each();
+        log::line(format!("out of descriptors: from now on {each} connections on each side"));
+        let _ = front.happenings.send(Happening::OutOfDescriptors);
+    }
+    slots.make_room_down_to(stay(descriptors.each()));
+}
+
 /// How many of so many connections may stay, as others may be closing; half of them where there are few.
 fn stay(each: usize) -> usize {
     each.saturating_sub(CLOSING).max(each / 2).max(1)
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -18,13 +18,13 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// What is neither a client's nor a server's: the table above.
 pub const OWN: usize = 24;
@@ -35,6 +35,9 @@
 /// The wait before a connection is tried again that lacked a descriptor: idle clients are closed meanwhile, and
 /// the shortest deadlines are tens of milliseconds.
 const AGAIN: Duration = Duration::from_millis(5);
+/// What is over the limit that was found is closed by then. Before, less and less is held while others still lack a
+/// descriptor: counted again, it would look like an ever lower limit.
+const CLOSED_AFTER: Duration = Duration::from_secs(1);
 
 /// How many connections there may be on each side. The limit in force may be lower than the configured one: who
 /// finds no descriptor says so, and from then on there are fewer.
@@ -47,6 +50,8 @@
     permits: Arc<Semaphore>,
     /// Told when there was no descriptor.
     lacking: Notify,
+    /// When it was last worked out how many there may be.
+    counted_at: Mutex<Option<Instant>>,
 }
 
 /// Whether an operation failed because this process holds all the descriptors that it may.
@@ -62,6 +67,7 @@
             each: AtomicUsize::new(each),
             permits: Arc::new(Semaphore::new(each)),
             lacking: Notify::new(),
+            counted_at: Mutex::new(None),
         }
     }
 
@@ -101,6 +107,11 @@
     /// There was no descriptor while so many clients were connected: what is held now is all that there is, and
     /// what discovery needs has to come out of it. Whether that makes fewer connections.
     pub fn shrink(&self, clients: usize) -> bool {
+        let mut counted_at = self.counted_at.lock().unwrap_or_else(PoisonError::into_inner);
+        if counted_at.is_some_and(|at| at.elapsed() < CLOSED_AFTER) {
+            return false;
+        }
+        *counted_at = Some(Instant::now());
         let all = ALWAYS + clients + self.servers();
         let each = (all.saturating_sub(OWN) / 2).max(1);
         self.each.fetch_min(each, Ordering::Relaxed) > each
