Tests: one stage each for a full accept queue, a quiet connection and a lack of descriptors

A listener with a full accept queue was built in three places; tests/sidecar.rs and tests/standing.rs take Late's now.

--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -261,6 +261,31 @@
     }
 }
 
+/// A request that waits for the one connection to its server to be quiet: an answer has just come on it.
+struct Waiting {
+    sidecar: Sidecar,
+    _discovery: Discovery,
+    /// Whose answer that was, and the client that waits.
+    first: Client,
+    client: Client,
+    brake: Brake,
+    /// How many fetches had come before.
+    before: usize,
+}
+
+fn waiting(came: &Came, upstream: &Upstream, settings: &str) -> Waiting {
+    let (sidecar, _discovery) = Sidecar::with_settings(&[upstream], settings);
+    let mut first = Client::to(sidecar.address);
+    let mut client = Client::to(sidecar.address);
+    let brake = Brake::on(&sidecar);
+    let before = count(came, "fetch");
+    assert_eq!(first.ask("bill").status(), 200);
+    client.send("fetch", 60_000);
+    // Enough to read it, and less than the wait.
+    std::thread::sleep(Duration::from_millis(3));
+    Waiting { sidecar, _discovery, first, client, brake, before }
+}
+
 #[test]
 fn a_request_that_waits_for_a_quiet_connection_is_not_written_after_its_client_has_left() {
     // Probes would come with connections of their own.
@@ -269,16 +294,8 @@
         let came = Came::default();
         let upstreams = servers(&came, || Deed::ok("served"));
         until("a round was in time", || {
-            // One connection, on which an answer has just come.
-            let (sidecar, _discovery) = Sidecar::with_settings(&[&upstreams[0]], &settings);
-            let mut first = Client::to(sidecar.address);
-            let mut client = Client::to(sidecar.address);
-            let brake = Brake::on(&sidecar);
-            let before = count(&came, "fetch");
-            assert_eq!(first.ask("bill").status(), 200);
-            client.send("fetch", 60_000);
-            // Enough to read it, and less than the wait.
-            std::thread::sleep(Duration::from_millis(3));
+            let Waiting { sidecar, _discovery, mut first, client, brake, before } =
+                waiting(&came, &upstreams[0], &settings);
             let (_half_open, out) =
                 held_up(&sidecar, brake, &came, || depart(client, way, behind.as_bytes()));
             assert_eq!(first.ask("bill").status(), 200);
@@ -295,14 +312,8 @@
     let came = Came::default();
     let upstreams = servers(&came, || Deed::ok("served"));
     until("a round was in time", || {
-        let (sidecar, _discovery) = Sidecar::with_settings(&[&upstreams[0]], &settings);
-        let mut first = Client::to(sidecar.address);
-        let mut client = Client::to(sidecar.address);
-        let brake = Brake::on(&sidecar);
-        let before = count(&came, "fetch");
-        assert_eq!(first.ask("bill").status(), 200);
-        client.send("fetch", 60_000);
-        std::thread::sleep(Duration::from_millis(3));
+        let Waiting { sidecar, _discovery, first: _first, mut client, brake, before } =
+            waiting(&came, &upstreams[0], &settings);
         // The socket is asked for its end and holds this instead.
         let ((), out) = held_up(&sidecar, brake, &came, || client.send("log", 60_000));
         assert_eq!(client.read().expect("the first answer").status(), 200);
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -311,25 +311,3 @@
     assert_eq!(log.iter().find(blamed), None);
     assert!(served >= 100, "{served} of 300 were served");
 }
-
-/// What was held was counted only after the clients that left had been taken off: one connection was left on each side,
-/// and idle clients took it in turn for 22 s.
-#[test]
-fn clients_that_leave_as_descriptors_run_out_do_not_make_the_limit_look_lower() {
-    let upstream = Upstream::new(|_| Deed::ok("served"));
-    let known = ready(&[&upstream]);
-    let discovery = Discovery::new(&known);
-    let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS);
-    let sidecar = Sidecar::start_with(&text, Some(32));
-    sidecar.wait_up();
-    let mut idle: Vec<Client> = (0..60).map(|_| Client::to(sidecar.address)).collect();
-    sidecar.wait_log("cannot accept");
-    idle.drain(..50);
-    let began = Instant::now();
-    until("it serves again", || {
-        let mut client = Client::to(sidecar.address);
-        client.send("fetch", 5_000);
-        client.read().is_some_and(|answer| answer.status() == 200)
-    });
-    assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
-}
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -524,7 +524,8 @@
 /// An upstream that connections to do not come up: its accept queue is full until this is told to accept.
 pub struct Late {
     pub listener: TcpListener,
-    queue: Vec<TcpStream>,
+    /// What fills the queue.
+    pub queue: Vec<TcpStream>,
 }
 
 impl Late {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use loopback::*;
 
@@ -630,6 +630,8 @@
     assert!(served.iter().all(|(count, _)| *count >= 1), "each gets a whole answer");
 }
 
+/// What was held was once counted only after the clients that left had been taken off: one connection was left on each
+/// side, and idle clients took it in turn for 22 s.
 #[test]
 fn running_out_of_descriptors_is_survived() {
     let upstream = Upstream::new(|_| Deed::ok("served"));
@@ -644,11 +646,13 @@
         sidecar.log.lock().unwrap().iter().any(|line| line.contains("cannot accept"))
     });
     clients.drain(..50);
+    let began = Instant::now();
     until("it serves again", || {
         let mut client = Client::to(sidecar.address);
         client.send("fetch", 5_000);
         client.read().is_some_and(|answer| answer.status() == 200)
     });
+    assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
 }
 
 #[test]
@@ -673,23 +677,12 @@
 
 #[test]
 fn an_attempt_that_is_still_connecting_when_its_upstream_drains_is_not_written() {
-    // An upstream whose accept queue is full: connections to it come up only once it accepts again.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let slow = runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4().unwrap();
-        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        socket.listen(1).unwrap().into_std().unwrap()
-    });
-    slow.set_nonblocking(false).unwrap();
+    let Late { listener: slow, queue } = Late::new();
     let address = slow.local_addr().unwrap();
-    let queue = [0, 1].map(|_| std::net::TcpStream::connect(address).unwrap());
     let other = Upstream::new(|_| Deed::ok("elsewhere"));
     let known = list(5, true, &[entry("slow", address, "ready")]);
     let discovery = Discovery::new(&known);
-    let settings = SETTINGS
-        .replace(r#""connect_timeout":2000.0"#, r#""connect_timeout":25000.0"#)
-        .replace(r#""aim":3000.0"#, r#""aim":60000.0"#);
-    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, &settings));
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, &patient()));
     sidecar.wait_up();
     let mut client = Client::to(sidecar.address);
     client.send("bill", 60_000);
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -3,7 +3,7 @@
 mod loopback;
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
@@ -81,15 +81,8 @@
 /// A server whose accept queue is full: the kernel tries anew to connect after 1 s.
 #[test]
 fn a_connection_that_comes_up_late_tells_what_is_left_by_then() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let listener = runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4().unwrap();
-        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        socket.listen(1).unwrap().into_std().unwrap()
-    });
-    listener.set_nonblocking(false).unwrap();
+    let Late { listener, queue } = Late::new();
     let address = listener.local_addr().unwrap();
-    let queue = [0, 1].map(|_| TcpStream::connect(address).unwrap());
     let settings = SETTINGS.replace(r#""connect_timeout":2000.0"#, r#""connect_timeout":25000.0"#);
     let (sidecar, _discovery) = start(&[address], &settings);
     let sent = Instant::now();
