Decode each entry of a list once

An entry was decoded three times for a whole list: HostList::entries, ::unread (twice: Watch::tell, and unread_names in Servers::take), and twice for a change. HostList holds what came of each entry now; what cannot be read, its name and its reason are as before, and so is what is logged and when.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Deserializer};
 
 use super::descriptors::OWN;
-use super::discovery::HostList;
+use super::discovery::{Entry, HostList};
 use super::log;
 
 /// The configuration file.
@@ -76,7 +76,7 @@
     let value = serde_json::Value::deserialize(deserializer)?;
     let hosts = match (&value, value.get("hosts").and_then(serde_json::Value::as_array)) {
         (serde_json::Value::Null, _) => return Ok(None),
-        (_, Some(hosts)) => hosts.clone(),
+        (_, Some(hosts)) => hosts.iter().cloned().map(Entry::from).collect(),
         (_, None) => {
             log::line("the known list cannot be read: hosts is missing or no list");
             return Ok(None);
@@ -88,7 +88,7 @@
         0
     });
     let mut list = HostList { seq, whole: true, hosts };
-    if list.unread().next().is_some() {
+    if list.has_unread() {
         // What stands there is in no change that is told later.
         list.seq = 0;
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -52,8 +52,35 @@
     /// Whether it is complete.
     #[serde(default)]
     pub whole: bool,
-    /// Its entries, each decoded by itself: one that is broken must not take the others with it.
-    pub hosts: Vec<serde_json::Value>,
+    /// Its entries.
+    pub hosts: Vec<Entry>,
+}
+
+/// An entry of a list, decoded once and by itself: one that is broken must not take the others with it.
+#[derive(Deserialize)]
+#[serde(from = "serde_json::Value")]
+pub enum Entry {
+    /// What it says.
+    Read(Host),
+    /// It cannot be read.
+    Unread {
+        /// Its host, as far as that can be read.
+        host: Option<String>,
+        /// Why.
+        error: String,
+    },
+}
+
+impl From<serde_json::Value> for Entry {
+    fn from(entry: serde_json::Value) -> Entry {
+        match read(&entry) {
+            Ok(host) => Entry::Read(host),
+            Err(error) => {
+                let host = entry.get("host").and_then(serde_json::Value::as_str).map(str::to_owned);
+                Entry::Unread { host, error: error.to_string() }
+            }
+        }
+    }
 }
 
 /// An upstream as discovery tells it.
@@ -100,25 +127,27 @@
 
 impl HostList {
     /// The entries that can be read; the others are logged.
-    pub fn entries(&self) -> Vec<Host> {
-        let read = |entry: &serde_json::Value| match read(entry) {
-            Ok(host) => Some(host),
-            Err(error) => {
+    pub fn entries(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.iter().filter_map(|entry| match entry {
+            Entry::Read(host) => Some(host),
+            Entry::Unread { error, .. } => {
                 log::line(format!("discovery: an entry cannot be read: {error}"));
                 None
             }
-        };
-        self.hosts.iter().filter_map(read).collect()
+        })
     }
 
-    /// The entries that cannot be read.
-    pub fn unread(&self) -> impl Iterator<Item = &serde_json::Value> {
-        self.hosts.iter().filter(|entry| read(entry).is_err())
+    /// Whether there is an entry that cannot be read.
+    pub fn has_unread(&self) -> bool {
+        self.hosts.iter().any(|entry| matches!(entry, Entry::Unread { .. }))
     }
 
     /// The hosts whose entries cannot be read, as far as their names can.
     pub fn unread_names(&self) -> impl Iterator<Item = &str> {
-        self.unread().filter_map(|entry| entry.get("host")?.as_str())
+        self.hosts.iter().filter_map(|entry| match entry {
+            Entry::Unread { host, .. } => host.as_deref(),
+            Entry::Read(_) => None,
+        })
     }
 }
 
@@ -380,7 +409,7 @@
             bail!("version {} came after {}", list.seq, self.seq);
         }
         self.seq = list.seq;
-        let (whole, unread) = (list.whole, list.unread().next().is_some());
+        let (whole, unread) = (list.whole, list.has_unread());
         let news = Happening::Listed { watch: self.number, list };
         self.news.send(news).ok().context("the driver has ended")?;
         match (unread, whole) {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -73,8 +73,8 @@
         settings: &SettingsObject,
         now: Millis,
     ) -> Vec<Listing> {
-        let hosts = list.entries();
-        let mut listings: Vec<Listing> = hosts.iter().map(|host| self.update(host, settings, now)).collect();
+        let mut listings: Vec<Listing> =
+            list.entries().map(|host| self.update(host, settings, now)).collect();
         if whole {
             // An entry that cannot be read is not missing: what was known of its host stands.
             let unread = list.unread_names().filter_map(|name| self.ids.get(name));
