--- a/review/stand/mod.rs
+++ b/review/stand/mod.rs
@@ -306,6 +306,8 @@
 pub struct TicketServer {
     pub name: String,
     pub address: SocketAddr,
+    ended: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl TicketServer {
@@ -316,9 +318,17 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for a ticket server");
         let address = listener.local_addr().expect("address");
         let (name, handler) = (name.to_owned(), Arc::new(handler));
-        let thread_name = name.clone();
+        let (ended, connections) =
+            (Arc::new(AtomicBool::new(false)), Arc::<Mutex<Vec<TcpStream>>>::default());
+        let (thread_name, thread_ended, thread_connections) =
+            (name.clone(), ended.clone(), connections.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                // The listener goes with this thread: later connections are refused.
+                if thread_ended.load(Ordering::SeqCst) {
+                    return;
+                }
+                thread_connections.lock().unwrap().extend(stream.try_clone().ok());
                 let (name, handler) = (thread_name.clone(), handler.clone());
                 std::thread::spawn(move || {
                     let _ = stream.set_nodelay(true);
@@ -342,7 +352,16 @@
                 });
             }
         });
-        TicketServer { name, address }
+        TicketServer { name, address, ended, connections }
+    }
+
+    /// Ends it as the end of its process would: connections break and new ones are refused.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
     }
 
     /// Its entry in a list.
