--- a/review/stand/mod.rs
+++ b/review/stand/mod.rs
@@ -30,6 +30,12 @@
 
 impl Case {
     pub fn from_env() -> Case {
+        // A fault of the stand-ins ends the case as one that could not run, and no sidecar stays behind.
+        std::panic::set_hook(Box::new(|panic| {
+            eprintln!("{panic}");
+            end_sidecars();
+            std::process::exit(2)
+        }));
         let folder = PathBuf::from(std::env::var("CASE_DIR").expect("CASE_DIR"));
         let temporary = PathBuf::from(std::env::var("CASE_TMP").expect("CASE_TMP"));
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -41,10 +47,7 @@
     /// Ends the case and every sidecar that it started: 0 if the rule held, 1 if it was broken, 2 if the case could not
     /// run.
     pub fn finish(&self, code: i32, verdict: &str) -> ! {
-        for mut child in std::mem::take(&mut *lock(&CHILDREN)) {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        end_sidecars();
         self.record.line(format!("verdict: {verdict} (exit {code})"));
         println!("{verdict} (exit {code})");
         std::process::exit(code)
@@ -81,6 +84,14 @@
 /// The sidecars that were started; [`Case::finish`] ends them.
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
+/// Ends the sidecars that were started.
+fn end_sidecars() {
+    for mut child in std::mem::take(&mut *lock(&CHILDREN)) {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
