Read bodies into one buffer: a frame kept the read buffer that it is a slice of

Cause: client.rs handle_request and upstream_connection.rs exchange collected the frames of a body. A frame is a slice of the 8 KiB or more that the connection was read into, so a body read in n pieces held n read buffers.

Change: body.rs read_body copies each frame into one buffer and drops it, for requests, responses and probes, in every framing. It works because hyper can then read into the same buffer again.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -10,7 +10,7 @@
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
@@ -23,11 +23,11 @@
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::body::{BodyError, MAX_BODY_BYTES, read_body};
 use super::client_stream::{ClientStream, DisconnectDetector};
 use super::descriptors::{Descriptors, is_out_of_descriptors};
 use super::driver::DriverEvent;
 use super::log;
-use super::upstream_connection::MAX_BODY_BYTES;
 
 /// Length of the accept queue, in which clients wait while the sidecar starts or is busy.
 const LISTEN_BACKLOG: u32 = 4096;
@@ -417,12 +417,14 @@
             Err(RequestError { status, reason }) => return text_response(status, reason),
         };
     let (parts, body) = request.into_parts();
-    let body = match timeout_at(body_deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    let body = match timeout_at(body_deadline, read_body(body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLong)) => {
             return text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         }
-        Ok(Err(_)) => return text_response(StatusCode::BAD_REQUEST, "the body is broken"),
+        Ok(Err(BodyError::Incomplete)) => {
+            return text_response(StatusCode::BAD_REQUEST, "the body is broken");
+        }
         Err(_) => return text_response(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
     };
     let received_at = Instant::now();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The network layer of the sidecar. All tasks run on one thread. The driver owns the decision module, and all other
 //! tasks send it events through a channel.
 
+pub mod body;
 pub mod client;
 pub mod client_stream;
 pub mod config;
--- a/src/net/upstream_connection.rs
+++ b/src/net/upstream_connection.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
@@ -14,14 +14,13 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
+use super::body::{BodyError, MAX_BODY_BYTES, read_body};
 use super::client_stream::DisconnectDetector;
 use super::descriptors::Descriptors;
 use super::driver::{DriverEvent, InFlightAttempt};
 use super::log;
 use super::upstream_stream::{ExchangeProgress, UpstreamStream};
 
-/// Limit on the size of request and response bodies.
-pub const MAX_BODY_BYTES: usize = 64 << 10;
 /// Limit on the size of a response head; hyper also reads bodies through a buffer of this size.
 const MAX_BUFFER_BYTES: usize = 32 << 10;
 /// The interval at which a response that has started is checked for new bytes. It is short because responses are small
@@ -211,15 +210,13 @@
     if let Some(reason) = framing_error(&head) {
         return Err(ExchangeError::InvalidResponse(reason));
     }
-    match Limited::new(body, MAX_BODY_BYTES).collect().await {
+    match read_body(body).await {
         Ok(body) => {
             progress.mark_response_complete();
-            Ok(UpstreamResponse { status: head.status, headers: head.headers, body: body.to_bytes() })
+            Ok(UpstreamResponse { status: head.status, headers: head.headers, body })
         }
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(ExchangeError::InvalidResponse("response body is too long"))
-        }
-        Err(_) => Err(connection_error()),
+        Err(BodyError::TooLong) => Err(ExchangeError::InvalidResponse("response body is too long")),
+        Err(BodyError::Incomplete) => Err(connection_error()),
     }
 }
 
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -77,6 +77,8 @@
     WriteRaw(&'static [u8]),
     /// Writes these bytes and closes the connection.
     WriteRawAndClose(&'static [u8]),
+    /// Writes these pieces, each after a pause of this length, and closes the connection.
+    WriteInPieces(Vec<&'static [u8]>, Duration),
     /// Sends nothing and leaves the connection open.
     NoResponse,
     /// Sends nothing, and signals the channel when the peer closes the connection.
@@ -191,6 +193,15 @@
                 let _ = reader.get_ref().shutdown(Shutdown::Both);
                 break;
             }
+            Behaviour::WriteInPieces(pieces, interval) => {
+                let _ = writer.set_nodelay(true);
+                for piece in pieces {
+                    std::thread::sleep(interval);
+                    let _ = writer.write_all(piece);
+                }
+                let _ = reader.get_ref().shutdown(Shutdown::Both);
+                break;
+            }
             Behaviour::NoResponse => {}
             Behaviour::NoResponseNotifyClose(close_sender) => {
                 let _ = read_message(&mut reader);
@@ -313,6 +324,14 @@
     host_list(5, true, &entries)
 }
 
+/// A snapshot, of version 5, of ready upstreams at these addresses, named s0, s1 and so on.
+pub fn ready_addresses(addresses: &[SocketAddr]) -> String {
+    let entry =
+        |(number, address): (usize, &SocketAddr)| host_entry(&format!("s{number}"), *address, "ready");
+    let entries: Vec<String> = addresses.iter().enumerate().map(entry).collect();
+    host_list(5, true, &entries)
+}
+
 /// Default settings in wire format. The classes are idempotent (`fetch`), keyed per cell (`log`) and non-idempotent
 /// (`bill`).
 pub const SETTINGS_JSON: &str = r#"{"allowed":{"cancel":true,"connect_timeout":2000.0,"keepalive":60000.0,
@@ -449,6 +468,13 @@
         );
     }
 
+    /// The memory that the process holds, in KiB, without pages that are backed by files.
+    pub fn anonymous_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let value = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        value.and_then(|text| text.trim().strip_suffix(" kB")?.parse().ok()).expect("RssAnon in KiB")
+    }
+
     /// Waits until the process exits by itself.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
--- a/tests/timeouts_and_resets.rs
+++ b/tests/timeouts_and_resets.rs
@@ -13,12 +13,7 @@
 
 /// Starts a sidecar and a discovery server that lists upstreams at these addresses, and waits until the sidecar is up.
 fn start_sidecar(addresses: &[SocketAddr], settings: &str) -> (Sidecar, Discovery) {
-    let entries: Vec<String> = addresses
-        .iter()
-        .enumerate()
-        .map(|(number, address)| host_entry(&format!("s{number}"), *address, "ready"))
-        .collect();
-    let known = host_list(5, true, &entries);
+    let known = ready_addresses(addresses);
     let discovery = Discovery::new(&known);
     let sidecar = Sidecar::start(&config_json("127.0.0.1:0", discovery.address, &known, 1024, settings));
     sidecar.wait_until_up();
