--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -430,9 +430,19 @@
 
     /// Like [`Sidecar::for_upstreams`], with these settings.
     pub fn for_upstreams_with_settings(upstreams: &[&Upstream], settings: &str) -> (Sidecar, Discovery) {
-        let known = ready_hosts(upstreams);
-        let discovery = Discovery::new(&known);
-        let sidecar = Sidecar::start(&config_json("127.0.0.1:0", discovery.address, &known, 1024, settings));
+        Sidecar::for_host_list(&ready_hosts(upstreams), settings)
+    }
+
+    /// Like [`Sidecar::for_upstreams_with_settings`], for upstreams at these addresses.
+    pub fn for_addresses(addresses: &[SocketAddr], settings: &str) -> (Sidecar, Discovery) {
+        Sidecar::for_host_list(&ready_addresses(addresses), settings)
+    }
+
+    /// Starts a sidecar that knows this host list and a discovery server that sends it, and waits until the sidecar is
+    /// up.
+    fn for_host_list(known: &str, settings: &str) -> (Sidecar, Discovery) {
+        let discovery = Discovery::new(known);
+        let sidecar = Sidecar::start(&config_json("127.0.0.1:0", discovery.address, known, 1024, settings));
         sidecar.wait_until_up();
         (sidecar, discovery)
     }
@@ -665,3 +675,19 @@
         .replace(r#""connect_timeout":2000.0"#, r#""connect_timeout":25000.0"#)
         .replace(r#""aim":3000.0"#, r#""aim":60000.0"#)
 }
+
+/// The number of requests that the upstreams have received together.
+pub fn request_count(upstreams: &[&Upstream]) -> usize {
+    upstreams.iter().map(|upstream| upstream.requests().len()).sum()
+}
+
+/// Two upstreams. The first request that either of them receives gets this behaviour, all later ones a 200 response.
+pub fn first_then_ok(first: Behaviour) -> [Upstream; 2] {
+    let received = Arc::new(AtomicUsize::new(0));
+    [0, 1].map(|_| {
+        let (received, first) = (received.clone(), first.clone());
+        Upstream::new(move |_| {
+            if received.fetch_add(1, Ordering::SeqCst) == 0 { first.clone() } else { Behaviour::ok("served") }
+        })
+    })
+}
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -10,22 +10,6 @@
 
 use loopback::*;
 
-/// The number of requests that the upstreams have received together.
-fn request_count(upstreams: &[&Upstream]) -> usize {
-    upstreams.iter().map(|upstream| upstream.requests().len()).sum()
-}
-
-/// Two upstreams. The first request that either of them receives gets this behaviour, all later ones a 200 response.
-fn first_then_ok(first: Behaviour) -> [Upstream; 2] {
-    let received = Arc::new(AtomicUsize::new(0));
-    [0, 1].map(|_| {
-        let (received, first) = (received.clone(), first.clone());
-        Upstream::new(move |_| {
-            if received.fetch_add(1, Ordering::SeqCst) == 0 { first.clone() } else { Behaviour::ok("served") }
-        })
-    })
-}
-
 #[test]
 fn requests_and_responses_are_forwarded_unchanged() {
     let upstream =
@@ -84,71 +68,6 @@
     assert_eq!(request_count(&[&a, &b]), 2);
 }
 
-#[test]
-fn truncated_responses_are_not_forwarded() {
-    let [a, b] = first_then_ok(Behaviour::TruncateResponse);
-    let (sidecar, _discovery) = Sidecar::for_upstreams(&[&a, &b]);
-    let response = Client::connect(sidecar.address).exchange("fetch");
-    assert_eq!((response.status(), response.body), (200, b"served".to_vec()));
-}
-
-#[test]
-fn oversized_responses_are_errors() {
-    let upstream = Upstream::new(|_| Behaviour::Respond(200, "", vec![b'x'; MAX_BODY_BYTES + 1]));
-    let (sidecar, _discovery) = Sidecar::for_upstreams(&[&upstream]);
-    assert_eq!(Client::connect(sidecar.address).exchange("bill").status(), 502);
-    let at_limit = Upstream::new(|_| Behaviour::Respond(200, "", vec![b'x'; MAX_BODY_BYTES]));
-    let (sidecar, _discovery) = Sidecar::for_upstreams(&[&at_limit]);
-    assert_eq!(Client::connect(sidecar.address).exchange("bill").body.len(), MAX_BODY_BYTES);
-}
-
-#[test]
-fn malformed_responses_fail_the_attempt_without_delay() {
-    for behaviour in [
-        Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nxxxx"),
-        Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nxxxx"),
-        Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nxxxx"),
-        Behaviour::WriteRaw(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nxxxx"),
-        Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nContent-Le"),
-        Behaviour::WriteRaw(
-            b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        ),
-        Behaviour::WriteRawAndClose(b"HTTP/1.1 200 OK\r\n\r\nsome, or all?"),
-        Behaviour::WriteRaw(b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
-        Behaviour::WriteRaw(b"\x00\x16noise\r\n\r\n"),
-    ] {
-        let [a, b] = first_then_ok(behaviour);
-        let (sidecar, _discovery) = Sidecar::for_upstreams(&[&a, &b]);
-        let mut client = Client::connect(sidecar.address);
-        // The client waits longer than this test, so only the failed attempt can end the request.
-        client.send("bill", 600_000);
-        assert_eq!(client.read().expect("a response").status(), 502);
-        assert_eq!(request_count(&[&a, &b]), 1, "must not be retried: it may have run");
-        let contacted = [&a, &b].into_iter().find(|upstream| !upstream.requests().is_empty()).unwrap();
-        let connection = contacted.requests()[0].connection;
-        wait_until("the sidecar closes the connection", || contacted.close_sequence(connection).is_some());
-        assert_eq!(client.exchange("fetch").body, b"served");
-    }
-}
-
-#[test]
-fn complete_responses_with_irregular_extras_are_forwarded() {
-    for behaviour in [
-        Behaviour::WriteRaw(b"HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"),
-        Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nX-Server-Load: \xff\xfe=1e300\r\nContent-Length: 4\r\n\r\ngood"),
-        Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngoodHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"),
-        Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood\x00\x16noise"),
-    ] {
-        let [a, b] = first_then_ok(behaviour);
-        let (sidecar, _discovery) = Sidecar::for_upstreams(&[&a, &b]);
-        let mut client = Client::connect(sidecar.address);
-        assert_eq!(client.exchange("bill").body, b"good");
-        for _ in 0..10 {
-            assert_eq!(client.exchange("fetch").body, b"served");
-        }
-    }
-}
-
 #[test]
 fn refused_connections_are_retried_on_another_upstream() {
     let unused_address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
--- a/tests/timeouts_and_resets.rs
+++ b/tests/timeouts_and_resets.rs
@@ -1,24 +1,14 @@
-//! Timeouts forwarded to upstreams, incomplete responses, and the deduplication window of keyed requests.
+//! Timeouts forwarded to upstreams, incomplete responses at shutdown, and the deduplication window of keyed requests.
 
 mod loopback;
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
 
 use loopback::*;
-use socket2::SockRef;
-
-/// Starts a sidecar and a discovery server that lists upstreams at these addresses, and waits until the sidecar is up.
-fn start_sidecar(addresses: &[SocketAddr], settings: &str) -> (Sidecar, Discovery) {
-    let known = ready_addresses(addresses);
-    let discovery = Discovery::new(&known);
-    let sidecar = Sidecar::start(&config_json("127.0.0.1:0", discovery.address, &known, 1024, settings));
-    sidecar.wait_until_up();
-    (sidecar, discovery)
-}
 
 /// By how many milliseconds the `x-timeout-ms` of a forwarded request exceeds the time that the client still waited
 /// when the request arrived. Includes the network delay to the upstream.
@@ -85,7 +75,7 @@
     let FullAcceptQueue { listener, queue } = FullAcceptQueue::new();
     let address = listener.local_addr().unwrap();
     let settings = SETTINGS_JSON.replace(r#""connect_timeout":2000.0"#, r#""connect_timeout":25000.0"#);
-    let (sidecar, _discovery) = start_sidecar(&[address], &settings);
+    let (sidecar, _discovery) = Sidecar::for_addresses(&[address], &settings);
     let sent = Instant::now();
     let mut client = Client::connect(sidecar.address);
     client.send("bill", 20_000);
@@ -113,57 +103,6 @@
     assert!(excess < 150.0, "the forwarded timeout is {excess} ms too long");
 }
 
-/// Starts an upstream. Of all upstreams that share `request_count`, the first request is answered with `response` and a
-/// reset of the connection, all others with status 200.
-fn upstream_resetting_first_request(response: &'static [u8], request_count: &Arc<AtomicUsize>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let request_count = request_count.clone();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let request_count = request_count.clone();
-            std::thread::spawn(move || {
-                let mut reader = BufReader::new(stream);
-                while let Some(message) = read_message(&mut reader) {
-                    let is_probe = message.start_line.starts_with("GET /metrics/");
-                    if !is_probe && request_count.fetch_add(1, Ordering::SeqCst) == 0 {
-                        let _ = reader.get_mut().write_all(response);
-                        // Lets the sidecar read the bytes before the reset discards them.
-                        std::thread::sleep(Duration::from_millis(5));
-                        SockRef::from(reader.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
-                        return;
-                    }
-                    let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved");
-                }
-            });
-        }
-    });
-    address
-}
-
-#[test]
-fn reset_connection_does_not_complete_a_response() {
-    for response in [
-        &b"HTTP/1.1 200 OK\r\n\r\nsome of it"[..],
-        b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nsome of it",
-        b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
-        b"HTTP/1.0 200 OK\r\n\r\nsome of it",
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nsome of it\r\n",
-        b"HTTP/1.1 500 Oh\r\n\r\nsome of it",
-    ] {
-        for (class, status, attempts) in [("fetch", 200, 2), ("log", 200, 2), ("bill", 502, 1)] {
-            let request_count = Arc::new(AtomicUsize::new(0));
-            let addresses = [0, 1].map(|_| upstream_resetting_first_request(response, &request_count));
-            let (sidecar, _discovery) = start_sidecar(&addresses, SETTINGS_JSON);
-            let received = Client::connect(sidecar.address).exchange(class);
-            let response_text = String::from_utf8_lossy(response);
-            assert_eq!(received.status(), status, "{class}: {response_text}");
-            assert_eq!(received.body == b"served", status == 200, "{class}: {response_text}");
-            assert_eq!(request_count.load(Ordering::SeqCst), attempts, "{class}: {response_text}");
-        }
-    }
-}
-
 /// An upstream sends a partial status line on idle connections, and on one with a request, just as the sidecar receives
 /// SIGTERM. Requests at the other upstream are answered, the one at this upstream is retried, and the sidecar exits
 /// successfully.
@@ -204,7 +143,7 @@
     });
     let upstream_released = released.clone();
     let other = Upstream::new(move |_| Behaviour::RespondWhenReleased(upstream_released.clone()));
-    let (mut sidecar, _discovery) = start_sidecar(&[address, other.address], SETTINGS_JSON);
+    let (mut sidecar, _discovery) = Sidecar::for_addresses(&[address, other.address], SETTINGS_JSON);
     let mut clients = Vec::new();
     wait_until("both upstreams hold a request", || {
         let mut client = Client::connect(sidecar.address);
