Forward a response without a length once its connection is closed

Tickets were issued and the client got 502; repeatable requests ran twice.

Cause: upstream_connection.rs framing_error failed the attempt at the head of such a 200, since its body alone does not show whether it is whole. Its log line came for each of five such answers in a trial; the same answers with a length are forwarded, and a 500 without one was always read, so the reading was not at fault.

Change: the body is read until the connection ends. This is safe because a close ends it and a reset is an error of the read, as hyper and the kernel report them; nothing else on the socket takes the error of the reset away.

--- a/src/net/upstream_connection.rs
+++ b/src/net/upstream_connection.rs
@@ -161,14 +161,15 @@
 }
 
 /// Returns why the body of a response must not be read: its end is ambiguous, or it is too long.
+///
+/// Without a length and chunks the body lasts until the upstream closes the connection. [`read_body`] then reports a
+/// reset, which would leave it incomplete, as an error.
 fn framing_error(head: &hyper::http::response::Parts) -> Option<&'static str> {
     let headers = &head.headers;
     let length = headers.get(header::CONTENT_LENGTH);
     match (head.status, length, headers.contains_key(header::TRANSFER_ENCODING)) {
         (StatusCode::SWITCHING_PROTOCOLS, ..) => Some("response switches protocols"),
         (_, Some(_), true) => Some("response has both Content-Length and Transfer-Encoding"),
-        // The body ends with the connection, so a truncated one cannot be detected.
-        (StatusCode::OK, None, false) => Some("response has neither Content-Length nor Transfer-Encoding"),
         (_, Some(length), false)
             if length.to_str().ok().and_then(|text| text.parse().ok()) > Some(MAX_BODY_BYTES) =>
         {
