Fail a response in a transfer coding that is not decoded

What callers would see: a 200 with Transfer-Encoding gzip, or gzip and chunked, was served with the coded bytes as the ticket server's body.

Cause: upstream_connection.rs framing_error took any Transfer-Encoding for chunked, hyper decodes chunks only, and the header is dropped on the way to the client.

Change: a response whose only coding is neither chunked nor identity is a failed attempt that may have run.

--- a/src/net/upstream_connection.rs
+++ b/src/net/upstream_connection.rs
@@ -170,6 +170,9 @@
     match (head.status, length, headers.contains_key(header::TRANSFER_ENCODING)) {
         (StatusCode::SWITCHING_PROTOCOLS, ..) => Some("response switches protocols"),
         (_, Some(_), true) => Some("response has both Content-Length and Transfer-Encoding"),
+        (_, None, true) if !is_supported_transfer_encoding(headers) => {
+            Some("response has an unsupported Transfer-Encoding")
+        }
         (_, Some(length), false)
             if length.to_str().ok().and_then(|text| text.parse().ok()) > Some(MAX_BODY_BYTES) =>
         {
@@ -179,6 +182,14 @@
     }
 }
 
+/// Whether the body can be read: hyper decodes chunks only, and other codings are not forwarded to the client.
+fn is_supported_transfer_encoding(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let (Some(value), None) = (values.next(), values.next()) else { return false };
+    let coding = value.as_bytes().trim_ascii();
+    coding.eq_ignore_ascii_case(b"chunked") || coding.eq_ignore_ascii_case(b"identity")
+}
+
 /// Sends a request and reads the complete response. Waits first until the connection may be reused, and sends nothing
 /// unless `client_connected` returns true then. `request_end` is the number of bytes written on the connection at which
 /// the request is complete.
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -90,6 +90,7 @@
     for (response, body) in [
         (&b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole"[..], &b"whole"[..]),
         (b"HTTP/1.1 200 OK\r\n\r\nwhole", b"whole"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nwhole", b"whole"),
         (b"HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nwhole", b"whole"),
         (b"HTTP/1.0 200 OK\r\n\r\nwhole", b"whole"),
         (b"HTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\n\r\nwhole", b"whole"),
@@ -128,6 +129,7 @@
         (&b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it"[..], ConnectionEnd::Close, 200),
         (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it", ConnectionEnd::Reset, 502),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it", ConnectionEnd::Close, 200),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it", ConnectionEnd::Reset, 200),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nnot all", ConnectionEnd::Close, 502),
         (
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n",
@@ -187,6 +189,7 @@
     assert_eq!(Client::connect(sidecar.address).exchange("bill").body.len(), MAX_BODY_BYTES);
 }
 
+/// Guards as well against a body whose transfer coding is removed from the head, but not from the body.
 #[test]
 fn malformed_responses_fail_the_attempt_without_delay() {
     for behaviour in [
@@ -199,6 +202,14 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         ),
         Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nsome, or all?"),
+        Behaviour::WriteRawAndClose(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n\x1f\x8b\x08"),
+        Behaviour::WriteRaw(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n3\r\n\x1f\x8b\x08\r\n0\r\n\r\n",
+        ),
+        Behaviour::WriteRaw(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n\
+              3\r\n\x1f\x8b\x08\r\n0\r\n\r\n",
+        ),
         Behaviour::WriteRaw(b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
         Behaviour::WriteRaw(b"\x00\x16noise\r\n\r\n"),
     ] {
@@ -220,6 +231,9 @@
 fn complete_responses_with_irregular_extras_are_forwarded() {
     for behaviour in [
         Behaviour::WriteRaw(b"HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"),
+        Behaviour::WriteRaw(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n3;x=1\r\ngoo\r\n1\r\nd\r\n0\r\nX-Trailer: 1\r\n\r\n",
+        ),
         Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nX-Server-Load: \xff\xfe=1e300\r\nContent-Length: 4\r\n\r\ngood"),
         Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngoodHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"),
         Behaviour::WriteRaw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood\x00\x16noise"),
