Decode the entries of a host list from their text, without a tree of JSON values

What callers would see: a host list of 2 MiB, the longest that is accepted, could take the sidecar over every memory limit while it is decoded, and it would be killed. Found by measuring each place that collects bytes of a peer.

Cause: discovery.rs decoded each entry into a JSON value with all content that no field names and kept an error text for each invalid one; config.rs built a value of the whole known list and copied it. MAX_OBJECT_BYTES counts the text only.

Change: host_list.rs, split off from discovery.rs, decodes each entry from its own text into its fields and counts the invalid ones, with one log line for all.

A known list nested over 128 levels no longer makes the configuration invalid (seen before and after).

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -6,9 +6,10 @@
 use anyhow::{Context, Result, bail};
 use sagemast::settings::SettingsObject;
 use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 
 use super::descriptors::RESERVED_DESCRIPTORS;
-use super::discovery::{HostEntry, HostList};
+use super::host_list::HostList;
 use super::log;
 
 /// The configuration file.
@@ -78,30 +79,18 @@
 
 /// Decodes the saved list leniently: without a valid list the sidecar starts and waits for discovery.
 fn deserialize_saved_list<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<HostList>, D::Error> {
-    let value = serde_json::Value::deserialize(deserializer)?;
-    let hosts = match (&value, value.get("hosts").and_then(serde_json::Value::as_array)) {
-        (serde_json::Value::Null, _) => return Ok(None),
-        (_, Some(hosts)) => hosts.iter().cloned().map(HostEntry::from).collect(),
-        (_, None) => {
+    let Some(json) = <Option<&RawValue>>::deserialize(deserializer)? else { return Ok(None) };
+    let list = HostList::from_saved(json.get());
+    match &list {
+        Err(error) => log::line(format!("the saved host list in \"known\" cannot be read: {error}")),
+        Ok(list) if list.version == 0 && !list.hosts.valid().is_empty() => {
             log::line(
-                "the saved host list in \"known\" cannot be read: \"hosts\" is missing or not an array",
+                "the saved host list in \"known\" has no valid version or invalid entries: requesting a snapshot",
             );
-            return Ok(None);
         }
-    };
-    // Version 0 makes discovery send a snapshot.
-    let version = value.get("seq").and_then(serde_json::Value::as_u64).unwrap_or_else(|| {
-        log::line(
-            "the saved host list in \"known\" has no valid \"seq\": requesting a snapshot from discovery",
-        );
-        0
-    });
-    let mut list = HostList { version, is_snapshot: true, hosts };
-    if list.has_invalid_entries() {
-        // Later deltas need not contain the invalid entries, so a snapshot is required.
-        list.version = 0;
+        Ok(_) => {}
     }
-    Ok(Some(list))
+    Ok(list.ok())
 }
 
 impl Config {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -13,13 +13,13 @@
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use oorandom::Rand64;
-use serde::Deserialize;
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::descriptors::Descriptors;
 use super::driver::DriverEvent;
+use super::host_list::HostList;
 use super::log;
 
 /// A watch on which no object starts or ends and no empty line arrives for this long is dead: discovery sends an empty
@@ -48,125 +48,6 @@
 /// object takes.
 const MAX_OBJECT_BYTES: usize = 2 << 20;
 
-/// A snapshot or delta of the host list, in discovery's JSON format.
-#[derive(Deserialize)]
-pub struct HostList {
-    /// Version of the list.
-    #[serde(rename = "seq")]
-    pub version: u64,
-    /// Whether this is a snapshot; otherwise it is a delta.
-    #[serde(default, rename = "whole")]
-    pub is_snapshot: bool,
-    /// Entries of the snapshot, or the changed ones of a delta.
-    pub hosts: Vec<HostEntry>,
-}
-
-/// An entry of a host list, decoded separately so that an invalid one does not affect the others.
-#[derive(Deserialize)]
-#[serde(from = "serde_json::Value")]
-pub enum HostEntry {
-    /// A valid entry.
-    Decoded(Host),
-    /// An entry that cannot be decoded.
-    Invalid {
-        /// Name of the host, if it could be decoded.
-        name: Option<String>,
-        /// Why decoding failed.
-        error: String,
-    },
-}
-
-impl From<serde_json::Value> for HostEntry {
-    fn from(entry: serde_json::Value) -> HostEntry {
-        match decode_host(&entry) {
-            Ok(host) => HostEntry::Decoded(host),
-            Err(error) => {
-                let name = entry.get("host").and_then(serde_json::Value::as_str).map(str::to_owned);
-                HostEntry::Invalid { name, error: error.to_string() }
-            }
-        }
-    }
-}
-
-/// An upstream as listed by discovery.
-#[derive(Deserialize, Clone)]
-pub struct Host {
-    /// Name of the upstream, the same at every sidecar.
-    #[serde(rename = "host")]
-    pub name: String,
-    /// Address that it listens on.
-    #[serde(rename = "dial")]
-    pub address: SocketAddr,
-    /// Zone of the upstream.
-    #[serde(default, rename = "site")]
-    pub zone: String,
-    /// Machine type.
-    #[serde(default, rename = "class")]
-    pub machine_type: String,
-    /// Cell of the upstream.
-    #[serde(default, rename = "block")]
-    pub cell: u64,
-    /// Whether it accepts new requests.
-    pub health: Health,
-    /// Capacity relative to other upstreams.
-    #[serde(default = "default_weight", rename = "share")]
-    pub weight: f64,
-    /// Time of its last start, in Unix milliseconds; 0 if that was long ago.
-    #[serde(default, rename = "born_ms")]
-    pub start_unix_ms: f64,
-}
-
-fn default_weight() -> f64 {
-    1.0
-}
-
-/// Whether an upstream accepts new requests.
-#[derive(Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
-#[serde(rename_all = "snake_case")]
-pub enum Health {
-    /// Accepts new requests.
-    Ready,
-    /// Completes the requests that it has and accepts no new ones.
-    Draining,
-    /// Removed from the list.
-    Gone,
-}
-
-impl HostList {
-    /// The hosts of the valid entries; logs the invalid ones.
-    pub fn valid_hosts(&self) -> impl Iterator<Item = &Host> {
-        self.hosts.iter().filter_map(|entry| match entry {
-            HostEntry::Decoded(host) => Some(host),
-            HostEntry::Invalid { error, .. } => {
-                log::line(format!("an entry of the host list cannot be read: {error}"));
-                None
-            }
-        })
-    }
-
-    /// Whether an entry could not be decoded.
-    pub fn has_invalid_entries(&self) -> bool {
-        self.hosts.iter().any(|entry| matches!(entry, HostEntry::Invalid { .. }))
-    }
-
-    /// The host names of the invalid entries, where they could be decoded.
-    pub fn invalid_host_names(&self) -> impl Iterator<Item = &str> {
-        self.hosts.iter().filter_map(|entry| match entry {
-            HostEntry::Invalid { name, .. } => name.as_deref(),
-            HostEntry::Decoded(_) => None,
-        })
-    }
-}
-
-/// Decodes and checks one entry.
-fn decode_host(entry: &serde_json::Value) -> Result<Host> {
-    let host = Host::deserialize(entry)?;
-    if !host.weight.is_finite() || !host.start_unix_ms.is_finite() {
-        bail!("share or born_ms of {} is not a finite number", host.name);
-    }
-    Ok(host)
-}
-
 /// Splits a byte stream into JSON objects, regardless of chunk and line boundaries.
 #[derive(Default)]
 struct JsonFramer {
@@ -438,7 +319,7 @@
             bail!("received a delta of version {} after version {}", list.version, self.list_version);
         }
         self.list_version = list.version;
-        let (is_snapshot, has_invalid_entries) = (list.is_snapshot, list.has_invalid_entries());
+        let (is_snapshot, has_invalid_entries) = (list.is_snapshot, list.hosts.has_invalid());
         let event = DriverEvent::HostListReceived { watch_id: self.id, list };
         self.event_sender.send(event).ok().context("the driver has stopped")?;
         match (has_invalid_entries, is_snapshot) {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -21,7 +21,8 @@
 use super::client::{ClientRequest, FinalResponse, ForwardedRequest, Frontend, end_to_end_headers};
 use super::client_stream::DisconnectDetector;
 use super::descriptors::Descriptors;
-use super::discovery::{AbortOnDrop, HostList, Watch};
+use super::discovery::{AbortOnDrop, Watch};
+use super::host_list::HostList;
 use super::log;
 use super::upstream_connection::{
     AttemptResult, ConnectError, Connection, ProbeConnection, UpstreamResponse, run_attempt, run_probe,
@@ -239,8 +240,7 @@
 
     /// Starts from a saved host list, if there is one, and handles events until the process exits.
     pub async fn run(mut self, saved_list: Option<HostList>) {
-        let saved_list = saved_list.unwrap_or(HostList { version: 0, is_snapshot: true, hosts: Vec::new() });
-        self.apply_host_list(&saved_list, true);
+        self.apply_host_list(&saved_list.unwrap_or_else(HostList::empty), true);
         if !self.subscribe_mode {
             self.start_watch(false);
         }
@@ -739,6 +739,9 @@
     fn apply_host_list(&mut self, list: &HostList, restored: bool) {
         self.list_version = list.version;
         self.reload_watch_pending = false;
+        if let Some(description) = list.hosts.describe_invalid() {
+            log::line(description);
+        }
         let is_complete = list.is_snapshot || restored;
         let now = self.module_time(Instant::now());
         let records = self.upstreams.apply_list(list, is_complete, &self.settings, now);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod descriptors;
 pub mod discovery;
 pub mod driver;
+pub mod host_list;
 pub mod log;
 pub mod upstream_connection;
 pub mod upstream_registry;
--- a/src/net/upstream_registry.rs
+++ b/src/net/upstream_registry.rs
@@ -6,7 +6,7 @@
 use sagemast::api::*;
 use sagemast::settings::{SettingsObject, ring_position};
 
-use super::discovery::{Health, Host, HostList};
+use super::host_list::{Health, Host, HostList};
 use super::upstream_connection::ConnectionPool;
 
 /// An upstream listed by discovery.
@@ -79,10 +79,10 @@
         now: Millis,
     ) -> Vec<UpstreamRecord> {
         let mut records: Vec<UpstreamRecord> =
-            list.valid_hosts().map(|host| self.apply_host(host, settings, now)).collect();
+            list.hosts.valid().iter().map(|host| self.apply_host(host, settings, now)).collect();
         if is_complete {
             // An upstream with an invalid entry is not missing from the list: its last record stays in use.
-            let invalid = list.invalid_host_names().filter_map(|name| self.ids.get(name));
+            let invalid = list.hosts.invalid_names().filter_map(|name| self.ids.get(name));
             records.extend(invalid.filter_map(|id| self.by_id.get(id)).map(|server| server.record.clone()));
             let listed: HashSet<UpstreamId> = records.iter().map(|record| record.upstream).collect();
             let missing = self.by_id.iter_mut().filter(|(id, _)| !listed.contains(id));
--- a/tests/unit/net_config.rs
+++ b/tests/unit/net_config.rs
@@ -30,3 +30,11 @@
         assert!(Config::parse(MINIMAL.replace(valid, invalid).as_bytes()).is_err(), "{invalid}");
     }
 }
+
+#[test]
+fn deeply_nested_saved_list_does_not_invalidate_the_configuration() {
+    let nested = format!("{}{}", "[".repeat(1_000), "]".repeat(1_000));
+    let known = format!(r#"{{"known":{{"seq":5,"hosts":[],"x":{nested}}},"#);
+    let config = Config::parse(MINIMAL.replacen('{', &known, 1).as_bytes()).expect("a valid configuration");
+    assert_eq!(config.saved_list.expect("a saved list").version, 5);
+}
