Tests: end connections with the shared upstream instead of one written again

tests/response_framing.rs served connections with a loop of its own, beside the shared Upstream, to end them by a close or a reset. Upstream gets a behaviour that resets; close was there. TruncateResponse, the same as WriteRawAndClose with fixed bytes, goes, with its bytes where it was used. The two ways to list ready hosts share one function. One doc comment on transfer codings says what it means. The cases and assertions stay; with a copy of read_body that takes an error for the end, the tests of truncated, reset and suspended responses fail, as they should.

--- a/src/net/upstream_connection.rs
+++ b/src/net/upstream_connection.rs
@@ -183,7 +183,8 @@
     }
 }
 
-/// Whether the body can be read: hyper decodes chunks only, and other codings are not forwarded to the client.
+/// Whether the body can be decoded: hyper decodes chunks only, and the client does not see the Transfer-Encoding of an
+/// upstream.
 fn is_supported_transfer_encoding(headers: &HeaderMap) -> bool {
     let mut values = headers.get_all(header::TRANSFER_ENCODING).iter();
     let (Some(value), None) = (values.next(), values.next()) else { return false };
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -77,6 +77,8 @@
     WriteRaw(&'static [u8]),
     /// Writes these bytes and closes the connection.
     WriteRawAndClose(&'static [u8]),
+    /// Writes these bytes and, after a pause of this length, resets the connection.
+    WriteRawAndReset(&'static [u8], Duration),
     /// Writes these pieces, each after a pause of this length, and closes the connection.
     WriteInPieces(Vec<&'static [u8]>, Duration),
     /// Sends nothing and leaves the connection open.
@@ -85,8 +87,6 @@
     NoResponseNotifyClose(mpsc::Sender<()>),
     /// Closes the connection without a response.
     Close,
-    /// Closes the connection in the middle of a response body.
-    TruncateResponse,
     /// Sends a response without `Connection: close` and closes the connection shortly after.
     RespondAndClose,
     /// Sends a response, and after the given delay a second, unsolicited one; reports the actual delay.
@@ -193,6 +193,12 @@
                 let _ = reader.get_ref().shutdown(Shutdown::Both);
                 break;
             }
+            Behaviour::WriteRawAndReset(bytes, pause) => {
+                let _ = writer.write_all(bytes);
+                std::thread::sleep(pause);
+                SockRef::from(&writer).set_linger(Some(Duration::ZERO)).unwrap();
+                break;
+            }
             Behaviour::WriteInPieces(pieces, interval) => {
                 let _ = writer.set_nodelay(true);
                 for piece in pieces {
@@ -209,10 +215,6 @@
                 return;
             }
             Behaviour::Close => return drop(reader.get_ref().shutdown(Shutdown::Both)),
-            Behaviour::TruncateResponse => {
-                let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of it");
-                return drop(reader.get_ref().shutdown(Shutdown::Both));
-            }
             Behaviour::RespondAndClose => {
                 let _ = writer.write_all(&response(200, "", b"last"));
                 std::thread::sleep(Duration::from_millis(20));
@@ -315,20 +317,20 @@
 
 /// A snapshot, of version 5, of ready upstreams named a, b, c and so on.
 pub fn ready_hosts(upstreams: &[&Upstream]) -> String {
-    let name = |index: usize| char::from(b'a' + index as u8).to_string();
-    let entries: Vec<String> = upstreams
-        .iter()
-        .enumerate()
-        .map(|(index, upstream)| host_entry(&name(index), upstream.address, "ready"))
-        .collect();
-    host_list(5, true, &entries)
+    let letter = |index: usize| char::from(b'a' + index as u8).to_string();
+    let hosts = upstreams.iter().enumerate();
+    ready_list(hosts.map(|(index, upstream)| (letter(index), upstream.address)))
 }
 
 /// A snapshot, of version 5, of ready upstreams at these addresses, named s0, s1 and so on.
 pub fn ready_addresses(addresses: &[SocketAddr]) -> String {
-    let entry =
-        |(number, address): (usize, &SocketAddr)| host_entry(&format!("s{number}"), *address, "ready");
-    let entries: Vec<String> = addresses.iter().enumerate().map(entry).collect();
+    let hosts = addresses.iter().enumerate();
+    ready_list(hosts.map(|(index, address)| (format!("s{index}"), *address)))
+}
+
+/// A snapshot, of version 5, of ready upstreams with these names and addresses.
+fn ready_list(hosts: impl Iterator<Item = (String, SocketAddr)>) -> String {
+    let entries: Vec<String> = hosts.map(|(name, address)| host_entry(&name, address, "ready")).collect();
     host_list(5, true, &entries)
 }
 
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -2,83 +2,26 @@
 
 mod loopback;
 
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use loopback::*;
-use socket2::SockRef;
-
-/// How an upstream ends a connection.
-#[derive(Debug, Clone, Copy)]
-enum ConnectionEnd {
-    Close,
-    Reset,
-}
-
-/// Writes a response and ends the connection after a pause.
-fn write_and_end(stream: TcpStream, response: &[u8], pause: Duration, end: ConnectionEnd) {
-    let _ = (&stream).write_all(response);
-    std::thread::sleep(pause);
-    if let ConnectionEnd::Reset = end {
-        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
-    }
-}
-
-/// Starts two upstreams and returns them with the number of requests that they have received. The first request is
-/// left to `respond_first`, which gets the connection, all others are answered with status 200.
-fn upstreams_with_first_response(
-    respond_first: impl Fn(TcpStream) + Send + Sync + 'static,
-) -> ([SocketAddr; 2], Arc<AtomicUsize>) {
-    let request_count = Arc::new(AtomicUsize::new(0));
-    let respond_first = Arc::new(respond_first);
-    let addresses = [0, 1].map(|_| {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let (request_count, respond_first) = (request_count.clone(), respond_first.clone());
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (request_count, respond_first) = (request_count.clone(), respond_first.clone());
-                std::thread::spawn(move || {
-                    let mut reader = BufReader::new(stream);
-                    while let Some(message) = read_message(&mut reader) {
-                        let is_probe = message.start_line.starts_with("GET /metrics/");
-                        if !is_probe && request_count.fetch_add(1, Ordering::SeqCst) == 0 {
-                            return respond_first(reader.into_inner());
-                        }
-                        let _ =
-                            reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved");
-                    }
-                });
-            }
-        });
-        address
-    });
-    (addresses, request_count)
-}
 
 /// The classes, with the status and the number of attempts of a request whose first attempt may have run but has no
 /// complete response.
 const AFTER_INCOMPLETE_RESPONSE: [(&str, u16, usize); 3] =
     [("fetch", 200, 2), ("log", 200, 2), ("bill", 502, 1)];
 
-/// Checks for each class that a response whose connection ends like this is not forwarded.
-fn assert_incomplete(response: &'static [u8], pause: Duration, end: ConnectionEnd) {
-    let text = String::from_utf8_lossy(response);
+/// Checks for each class that the response to the first attempt is not forwarded.
+fn assert_incomplete(first: &Behaviour, description: &str) {
     for (class, status, attempts) in AFTER_INCOMPLETE_RESPONSE {
-        let (addresses, request_count) =
-            upstreams_with_first_response(move |stream| write_and_end(stream, response, pause, end));
-        let (sidecar, _discovery) = Sidecar::for_addresses(&addresses, SETTINGS_JSON);
+        let [a, b] = first_then_ok(first.clone());
+        let (sidecar, _discovery) = Sidecar::for_upstreams(&[&a, &b]);
         let received = Client::connect(sidecar.address).exchange(class);
-        assert_eq!(received.status(), status, "{class}, {end:?} after {pause:?}: {text}");
-        assert_eq!(received.body == b"served", status == 200, "{class}, {end:?} after {pause:?}: {text}");
-        assert_eq!(
-            request_count.load(Ordering::SeqCst),
-            attempts,
-            "{class}, {end:?} after {pause:?}: {text}"
-        );
+        assert_eq!(received.status(), status, "{class}: {description}");
+        assert_eq!(received.body == b"served", status == 200, "{class}: {description}");
+        assert_eq!(request_count(&[&a, &b]), attempts, "{class}: {description}");
     }
 }
 
@@ -125,39 +68,47 @@
 /// the end of its connection arrive while the sidecar is suspended.
 #[test]
 fn connection_end_during_a_suspension_is_recognised() {
-    for (response, end, status) in [
-        (&b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it"[..], ConnectionEnd::Close, 200),
-        (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it", ConnectionEnd::Reset, 502),
-        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it", ConnectionEnd::Close, 200),
-        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it", ConnectionEnd::Reset, 200),
-        (b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nnot all", ConnectionEnd::Close, 502),
-        (
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n",
-            ConnectionEnd::Reset,
-            502,
-        ),
+    let until_close = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it";
+    let with_length = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it";
+    let truncated = b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nnot all";
+    let truncated_chunks = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n";
+    let reset = |response| Behaviour::WriteRawAndReset(response, Duration::ZERO);
+    for (description, behaviour, status) in [
+        ("until close, closed", Behaviour::WriteRawAndClose(until_close), 200),
+        ("until close, reset", reset(until_close), 502),
+        ("with a length, closed", Behaviour::WriteRawAndClose(with_length), 200),
+        ("with a length, reset", reset(with_length), 200),
+        ("truncated, closed", Behaviour::WriteRawAndClose(truncated), 502),
+        ("truncated chunks, reset", reset(truncated_chunks), 502),
     ] {
-        let (suspended, ended) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-        let (is_suspended, has_ended) = (suspended.clone(), ended.clone());
-        let (addresses, request_count) = upstreams_with_first_response(move |stream| {
-            wait_until("the sidecar is suspended", || is_suspended.load(Ordering::SeqCst) > 0);
-            write_and_end(stream, response, Duration::ZERO, end);
-            has_ended.store(1, Ordering::SeqCst);
+        let (received, suspended) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let [a, b] = [0, 1].map(|_| {
+            let (received, suspended, behaviour) = (received.clone(), suspended.clone(), behaviour.clone());
+            Upstream::new(move |_| {
+                received.fetch_add(1, Ordering::SeqCst);
+                wait_until("the sidecar is suspended", || suspended.load(Ordering::SeqCst) > 0);
+                behaviour.clone()
+            })
         });
-        let (sidecar, _discovery) = Sidecar::for_addresses(&addresses, SETTINGS_JSON);
+        let (sidecar, _discovery) = Sidecar::for_upstreams(&[&a, &b]);
         let mut client = Client::connect(sidecar.address);
         client.send("bill", 6_000);
-        wait_until("the request arrives", || request_count.load(Ordering::SeqCst) > 0);
+        wait_until("the request arrives", || received.load(Ordering::SeqCst) > 0);
         sidecar.signal("-STOP");
         suspended.store(1, Ordering::SeqCst);
-        wait_until("the connection ends", || ended.load(Ordering::SeqCst) > 0);
+        wait_until("the connection ends", || {
+            let has_ended = |upstream: &Upstream| {
+                let requests = upstream.requests();
+                requests.first().is_some_and(|request| upstream.close_sequence(request.connection).is_some())
+            };
+            has_ended(&a) || has_ended(&b)
+        });
         std::thread::sleep(Duration::from_millis(100));
         sidecar.signal("-CONT");
-        let received = client.read().expect("a response");
-        let text = String::from_utf8_lossy(response);
-        assert_eq!(received.status(), status, "{end:?}: {text}");
-        assert_eq!(received.body == b"all of it", status == 200, "{end:?}: {text}");
-        assert_eq!(request_count.load(Ordering::SeqCst), 1, "{end:?}: {text}");
+        let response = client.read().expect("a response");
+        assert_eq!(response.status(), status, "{description}");
+        assert_eq!(response.body == b"all of it", status == 200, "{description}");
+        assert_eq!(received.load(Ordering::SeqCst), 1, "{description}");
     }
 }
 
@@ -169,7 +120,7 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nhalf of it\r\n0\r\n",
         b"HTTP/1.1 200 OK\r\nConnection: close\r\n",
     ] {
-        assert_incomplete(response, Duration::ZERO, ConnectionEnd::Close);
+        assert_incomplete(&Behaviour::WriteRawAndClose(response), &String::from_utf8_lossy(response));
     }
 }
 
@@ -260,7 +211,9 @@
     ] {
         // At once with the response, and so late that the sidecar has read the response before.
         for pause_ms in [0, 5, 20] {
-            assert_incomplete(response, Duration::from_millis(pause_ms), ConnectionEnd::Reset);
+            let behaviour = Behaviour::WriteRawAndReset(response, Duration::from_millis(pause_ms));
+            let description = format!("reset after {pause_ms} ms: {}", String::from_utf8_lossy(response));
+            assert_incomplete(&behaviour, &description);
         }
     }
 }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -47,7 +47,7 @@
 fn non_idempotent_requests_that_may_have_run_are_not_retried() {
     for behaviour in [
         Behaviour::Close,
-        Behaviour::TruncateResponse,
+        Behaviour::WriteRawAndClose(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of it"),
         Behaviour::Respond(500, "", vec![]),
         Behaviour::Respond(503, "", vec![]),
     ] {
