Review: case 6, a late second answer is taken for the answer to the next request

One ticket server answer in 25 is followed by the same answer again 20 ms later; clients then get the answers of other requests with status 200.

--- /dev/null
+++ b/review/stand-2/run.sh
@@ -0,0 +1,25 @@
+# Sourced by the run.sh of each case: runs the built case of this folder, keeps its record there, and ends what is left.
+set -u
+number=$(basename "$folder")
+cd "$folder/../.." || exit 2
+program=target/review-2/case-$number
+if [[ ! -x $program || ! -x target/release/sagemast ]]; then
+    echo "build first: the build of deploy/balancer.toml and review/build-2.sh" >&2
+    exit 2
+fi
+WORK=$(mktemp -d) || exit 2
+export WORK RECORD="$folder/record.txt"
+end() {
+    # Only processes that this run has started are listed there.
+    if [[ -e $WORK/processes ]]; then
+        while read -r process; do kill -KILL "$process" 2>/dev/null; done <"$WORK/processes"
+    fi
+    rm -rf "$WORK"
+}
+trap end EXIT
+timeout --kill-after=3 110 "$program"
+status=$?
+case $status in
+0 | 1 | 2) exit "$status" ;;
+*) exit 2 ;;
+esac
