--- a/review/stand-2/mod.rs
+++ b/review/stand-2/mod.rs
@@ -207,6 +207,27 @@
     epoch: u64,
 }
 
+/// One of discovery's addresses: from `retired` on it takes no new connection, and closes the open ones 1.5 s later.
+#[derive(Clone)]
+pub struct DiscoveryAddress {
+    pub address: SocketAddr,
+    retired: Arc<Mutex<Option<Instant>>>,
+}
+
+impl DiscoveryAddress {
+    pub fn retire(&self) {
+        *self.retired.lock().unwrap() = Some(Instant::now());
+    }
+
+    fn is_retired(&self) -> bool {
+        self.retired.lock().unwrap().is_some()
+    }
+
+    fn is_closed(&self) -> bool {
+        self.retired.lock().unwrap().is_some_and(|at| at.elapsed() >= ms(1_500))
+    }
+}
+
 /// Discovery as on the protocol page: any number of watches, a changed entry at once, an empty line every 2 s.
 #[derive(Clone)]
 pub struct Discovery {
@@ -217,22 +238,36 @@
 
 impl Discovery {
     pub fn start(record: &Record, hosts: &[Host]) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
         let hosts = hosts.iter().map(|host| (41, host.clone())).collect();
         let listing = Listing { seq: 41, hosts, answer_after: Duration::ZERO, epoch: 0 };
-        let discovery = Discovery {
-            address: listener.local_addr().unwrap(),
+        let mut discovery = Discovery {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
             listing: Arc::new((Mutex::new(listing), Condvar::new())),
             record: record.clone(),
         };
-        let served = discovery.clone();
+        discovery.address = discovery.open_address().address;
+        discovery
+    }
+
+    /// Serves the same list at a further address.
+    pub fn open_address(&self) -> DiscoveryAddress {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
+        let _ = listener.set_nonblocking(true);
+        let address = listener.local_addr().unwrap();
+        let address = DiscoveryAddress { address, retired: Arc::default() };
+        let (served, of) = (self.clone(), address.clone());
         spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let served = served.clone();
-                spawn(move || served.serve(stream));
+            while !of.is_retired() {
+                let Ok((stream, _)) = listener.accept() else {
+                    std::thread::sleep(ms(2));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let (served, of) = (served.clone(), of.clone());
+                spawn(move || served.serve(stream, &of));
             }
         });
-        discovery
+        address
     }
 
     /// Changes an entry and tells all open watches.
@@ -258,7 +293,7 @@
         self.listing.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, at: &DiscoveryAddress) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().unwrap();
         let mut reader = BufReader::new(stream);
@@ -273,6 +308,9 @@
             if started.elapsed() >= delay {
                 break;
             }
+            if at.is_closed() {
+                return;
+            }
             match reader.get_mut().read(&mut [0; 16]) {
                 Ok(0) => {
                     self.record.line(format!("a call to discovery was given up after {:?}", started.elapsed()));
@@ -318,10 +356,10 @@
         loop {
             let mut listing = lock.lock().unwrap();
             if listing.seq == told && listing.epoch == epoch {
-                let longest = ms(2_000).saturating_sub(last_line.elapsed()).max(ms(1));
+                let longest = ms(2_000).saturating_sub(last_line.elapsed()).clamp(ms(1), ms(100));
                 listing = changed.wait_timeout(listing, longest).unwrap().0;
             }
-            if listing.epoch != epoch {
+            if listing.epoch != epoch || at.is_closed() {
                 return;
             }
             let text = if listing.seq > told {
@@ -470,6 +508,23 @@
         let _ = Command::new("kill").args([option, &self.child.id().to_string()]).status();
     }
 
+    /// Replaces the configuration file with one that names this address of discovery, and sends SIGHUP.
+    pub fn reconfigure(&self, record: &Record, discovery: SocketAddr) {
+        let path = self.folder.join("config.json");
+        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        let key = r#""discovery":""#;
+        let Some((before, rest)) = text.split_once(key) else { cannot_run("the configuration is not readable") };
+        let Some((_, after)) = rest.split_once('"') else { cannot_run("the configuration is not readable") };
+        let next = self.folder.join("config.next");
+        let written = std::fs::write(&next, format!("{before}{key}{discovery}\"{after}"))
+            .and_then(|()| std::fs::rename(&next, &path));
+        if let Err(error) = written {
+            cannot_run(&error.to_string());
+        }
+        record.line(format!("a new configuration names discovery at {discovery}; SIGHUP"));
+        self.signal("-HUP");
+    }
+
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("sidecar.log")).unwrap_or_default()
     }
