--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,5 +1,5 @@
-//! Case 10: new configurations in quick succession, beside a discovery that is somewhat slow. A ticket server begins to
-//! drain. Nothing new may go to it later than the grace after the sidecar counts as told.
+//! Case 10: discovery is slow: it answers each call, 3 s after it came. A ticket server begins to drain. Nothing new may
+//! go to it later than the grace after the sidecar counts as told.
 
 #[path = "../stand-2/mod.rs"]
 mod stand;
@@ -11,13 +11,9 @@
 
 const SERVERS: usize = 9;
 /// How long discovery needs for a call.
-const SLOW_MS: u64 = 1_200;
-/// The first new configuration comes this long after the sidecar is ready, the next ones each this long after the last.
-const FIRST_CONFIGURATION_AT_MS: u64 = 4_000;
-const CONFIGURATION_EVERY_MS: u64 = 1_000;
-const CONFIGURATIONS: u32 = 18;
+const SLOW_MS: u64 = 3_000;
 /// When the ticket server begins to drain, after the sidecar is ready.
-const DRAIN_AT_MS: u64 = 5_500;
+const DRAIN_AT_MS: u64 = 4_000;
 /// A change counts as told this long after discovery had it and could be reached.
 const TOLD_MS: u64 = 6_000;
 /// `invariants.drain_grace`, and the slack of every time limit.
@@ -41,16 +37,19 @@
         })
         .collect();
     let discovery = Discovery::start(&record, &hosts);
-    discovery.answer_after(ms(SLOW_MS));
-    record.line(format!("discovery needs {SLOW_MS} ms for each call"));
-    let first = discovery.open_address();
+    if trouble() {
+        discovery.answer_after(ms(SLOW_MS));
+        record.line(format!("discovery needs {SLOW_MS} ms for each call"));
+    }
+    let asked = settings(&[(r#""membership_mode":"automatic""#, r#""membership_mode":"subscribe""#)]);
     let sidecar = Sidecar::start(
         &record,
         &Start {
-            discovery: first.address,
+            name: "n1",
+            discovery: discovery.address,
             memory_mb: 48,
             sockets: 384,
-            settings: &settings(&[]),
+            settings: &asked,
             known: &list_json(41, true, &hosts),
         },
     );
@@ -77,26 +76,9 @@
             })
         })
         .collect();
-    // The platform: each new configuration names another address, and the one before is retired.
-    let mut drains = None;
-    let mut current = first;
-    let count = if trouble() { CONFIGURATIONS } else { 1 };
-    for number in 0..CONFIGURATIONS {
-        let at = ms(FIRST_CONFIGURATION_AT_MS) + ms(CONFIGURATION_EVERY_MS) * number;
-        std::thread::sleep(at.saturating_sub(ready.elapsed()));
-        if number < count {
-            let next = discovery.open_address();
-            sidecar.reconfigure(&record, next.address);
-            current.retire();
-            current = next;
-        }
-        if drains.is_none() && at + ms(CONFIGURATION_EVERY_MS) > ms(DRAIN_AT_MS) {
-            std::thread::sleep(ms(DRAIN_AT_MS).saturating_sub(ready.elapsed()));
-            drains = Some(Instant::now());
-            discovery.change(Host { health: "draining", ..hosts[0].clone() });
-        }
-    }
-    let Some(drains) = drains else { cannot_run("no ticket server began to drain") };
+    std::thread::sleep(ms(DRAIN_AT_MS).saturating_sub(ready.elapsed()));
+    let drains = Instant::now();
+    discovery.change(Host { health: "draining", ..hosts[0].clone() });
     for client in clients {
         let _ = client.join();
     }
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -50,6 +50,7 @@
     let mut sidecar = Sidecar::start(
         &record,
         &Start {
+            name: "n1",
             discovery: discovery.address,
             memory_mb: MEMORY_MB,
             sockets: SOCKETS,
--- a/review/stand-2/mod.rs
+++ b/review/stand-2/mod.rs
@@ -173,6 +173,7 @@
     pub name: String,
     pub address: SocketAddr,
     pub site: &'static str,
+    pub class: &'static str,
     pub block: u64,
     pub health: &'static str,
     pub born_ms: u64,
@@ -180,13 +181,13 @@
 
 impl Host {
     pub fn ready(name: &str, address: SocketAddr) -> Host {
-        Host { name: name.to_owned(), address, site: "angyalfold", block: 1, health: "ready", born_ms: 0 }
+        Host { name: name.to_owned(), address, site: "angyalfold", class: "uj-gep", block: 1, health: "ready", born_ms: 0 }
     }
 
     fn json(&self) -> String {
         format!(
-            r#"{{"host":"{}","dial":"{}","site":"{}","class":"uj-gep","block":{},"health":"{}","share":1.0,"born_ms":{}}}"#,
-            self.name, self.address, self.site, self.block, self.health, self.born_ms
+            r#"{{"host":"{}","dial":"{}","site":"{}","class":"{}","block":{},"health":"{}","share":1.0,"born_ms":{}}}"#,
+            self.name, self.address, self.site, self.class, self.block, self.health, self.born_ms
         )
     }
 }
@@ -207,27 +208,6 @@
     epoch: u64,
 }
 
-/// One of discovery's addresses: from `retired` on it takes no new connection, and closes the open ones 1.5 s later.
-#[derive(Clone)]
-pub struct DiscoveryAddress {
-    pub address: SocketAddr,
-    retired: Arc<Mutex<Option<Instant>>>,
-}
-
-impl DiscoveryAddress {
-    pub fn retire(&self) {
-        *self.retired.lock().unwrap() = Some(Instant::now());
-    }
-
-    fn is_retired(&self) -> bool {
-        self.retired.lock().unwrap().is_some()
-    }
-
-    fn is_closed(&self) -> bool {
-        self.retired.lock().unwrap().is_some_and(|at| at.elapsed() >= ms(1_500))
-    }
-}
-
 /// Discovery as on the protocol page: any number of watches, a changed entry at once, an empty line every 2 s.
 #[derive(Clone)]
 pub struct Discovery {
@@ -245,26 +225,19 @@
             listing: Arc::new((Mutex::new(listing), Condvar::new())),
             record: record.clone(),
         };
-        discovery.address = discovery.open_address().address;
+        discovery.address = discovery.open_address();
         discovery
     }
 
-    /// Serves the same list at a further address.
-    pub fn open_address(&self) -> DiscoveryAddress {
+    /// Starts to listen; returns the address.
+    fn open_address(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
-        let _ = listener.set_nonblocking(true);
         let address = listener.local_addr().unwrap();
-        let address = DiscoveryAddress { address, retired: Arc::default() };
-        let (served, of) = (self.clone(), address.clone());
+        let served = self.clone();
         spawn(move || {
-            while !of.is_retired() {
-                let Ok((stream, _)) = listener.accept() else {
-                    std::thread::sleep(ms(2));
-                    continue;
-                };
-                let _ = stream.set_nonblocking(false);
-                let (served, of) = (served.clone(), of.clone());
-                spawn(move || served.serve(stream, &of));
+            for stream in listener.incoming().flatten() {
+                let served = served.clone();
+                spawn(move || served.serve(stream));
             }
         });
         address
@@ -293,7 +266,7 @@
         self.listing.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream, at: &DiscoveryAddress) {
+    fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().unwrap();
         let mut reader = BufReader::new(stream);
@@ -308,9 +281,6 @@
             if started.elapsed() >= delay {
                 break;
             }
-            if at.is_closed() {
-                return;
-            }
             match reader.get_mut().read(&mut [0; 16]) {
                 Ok(0) => {
                     self.record.line(format!("a call to discovery was given up after {:?}", started.elapsed()));
@@ -356,10 +326,10 @@
         loop {
             let mut listing = lock.lock().unwrap();
             if listing.seq == told && listing.epoch == epoch {
-                let longest = ms(2_000).saturating_sub(last_line.elapsed()).clamp(ms(1), ms(100));
+                let longest = ms(2_000).saturating_sub(last_line.elapsed()).max(ms(1));
                 listing = changed.wait_timeout(listing, longest).unwrap().0;
             }
-            if listing.epoch != epoch || at.is_closed() {
+            if listing.epoch != epoch {
                 return;
             }
             let text = if listing.seq > told {
@@ -421,11 +391,12 @@
 pub struct Sidecar {
     child: Child,
     pub address: SocketAddr,
-    folder: PathBuf,
+    log_path: PathBuf,
 }
 
 /// How to start the sidecar.
 pub struct Start<'a> {
+    pub name: &'a str,
     pub discovery: SocketAddr,
     pub memory_mb: u64,
     pub sockets: u64,
@@ -441,21 +412,22 @@
         let folder = PathBuf::from(std::env::var("WORK").unwrap_or_else(|_| cannot_run("WORK is not set")));
         let seed = std::env::var("SEED").unwrap_or_else(|_| "8c1f30d27a5be964".to_owned());
         let config = format!(
-            r#"{{"name":"n1","listen":"{address}","discovery":"{}","seed":"{seed}",
+            r#"{{"name":"{}","listen":"{address}","discovery":"{}","seed":"{seed}",
 "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{},"settings":{}}}"#,
-            start.discovery, start.memory_mb, start.sockets, start.known, start.settings
+            start.name, start.discovery, start.memory_mb, start.sockets, start.known, start.settings
         );
-        let config_path = folder.join("config.json");
+        let config_path = folder.join(format!("{}.json", start.name));
+        let log_path = folder.join(format!("{}.log", start.name));
         std::fs::write(&config_path, config).unwrap_or_else(|error| cannot_run(&error.to_string()));
         let deploy = std::fs::read_to_string("deploy/balancer.toml").unwrap_or_default();
         let run = deploy
             .lines()
             .find_map(|line| line.strip_prefix("run = \"")?.split('"').next())
             .unwrap_or_else(|| cannot_run("the deploy file has no run command"));
-        let log = File::create(folder.join("sidecar.log")).unwrap();
+        let log = File::create(&log_path).unwrap_or_else(|error| cannot_run(&error.to_string()));
         let child = Command::new("/bin/sh")
             .args(["-c", run])
-            .env("ROUTER_NAME", "n1")
+            .env("ROUTER_NAME", start.name)
             .env("ROUTER_LISTEN", address.to_string())
             .env("ROUTER_DISCOVERY", start.discovery.to_string())
             .env("ROUTER_CONFIG", &config_path)
@@ -465,9 +437,10 @@
             .spawn()
             .unwrap_or_else(|error| cannot_run(&error.to_string()));
         // Known to the script, which ends the process if this one is ended before it.
-        let _ = std::fs::write(folder.join("processes"), format!("{}\n", child.id()));
+        let mut processes = File::options().create(true).append(true).open(folder.join("processes")).unwrap();
+        let _ = processes.write_all(format!("{}\n", child.id()).as_bytes());
         record.line(format!("the sidecar starts: process {}, listens on {address}", child.id()));
-        let sidecar = Sidecar { child, address, folder };
+        let sidecar = Sidecar { child, address, log_path };
         let begin = Instant::now();
         loop {
             if get_up(address) {
@@ -508,25 +481,8 @@
         let _ = Command::new("kill").args([option, &self.child.id().to_string()]).status();
     }
 
-    /// Replaces the configuration file with one that names this address of discovery, and sends SIGHUP.
-    pub fn reconfigure(&self, record: &Record, discovery: SocketAddr) {
-        let path = self.folder.join("config.json");
-        let text = std::fs::read_to_string(&path).unwrap_or_default();
-        let key = r#""discovery":""#;
-        let Some((before, rest)) = text.split_once(key) else { cannot_run("the configuration is not readable") };
-        let Some((_, after)) = rest.split_once('"') else { cannot_run("the configuration is not readable") };
-        let next = self.folder.join("config.next");
-        let written = std::fs::write(&next, format!("{before}{key}{discovery}\"{after}"))
-            .and_then(|()| std::fs::rename(&next, &path));
-        if let Err(error) = written {
-            cannot_run(&error.to_string());
-        }
-        record.line(format!("a new configuration names discovery at {discovery}; SIGHUP"));
-        self.signal("-HUP");
-    }
-
     pub fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.join("sidecar.log")).unwrap_or_default()
+        std::fs::read_to_string(&self.log_path).unwrap_or_default()
     }
 }
 
--- a/review/stand-2/run.sh
+++ b/review/stand-2/run.sh
@@ -18,7 +18,7 @@
 }
 trap end EXIT
 # The case with the idle clients needs more descriptors than some shells allow.
-ulimit -Sn 4096 2>/dev/null || true
+ulimit -Sn 16384 2>/dev/null || true
 timeout --kill-after=3 110 "$program"
 status=$?
 case $status in
