--- a/review/stand-2/run.sh
+++ b/review/stand-2/run.sh
@@ -9,7 +9,9 @@
 fi
 WORK=$(mktemp -d) || exit 2
 export WORK RECORD="$folder/record.txt"
+child=
 end() {
+    [[ -n $child ]] && kill -TERM "$child" 2>/dev/null && wait "$child" 2>/dev/null
     # Only processes that this run has started are listed there.
     if [[ -e $WORK/processes ]]; then
         while read -r process; do kill -KILL "$process" 2>/dev/null; done <"$WORK/processes"
@@ -17,10 +19,14 @@
     rm -rf "$WORK"
 }
 trap end EXIT
+trap "exit 2" INT TERM HUP
 # The case with the idle clients needs more descriptors than some shells allow.
 ulimit -Sn 16384 2>/dev/null || true
-timeout --kill-after=3 110 "$program"
+timeout --kill-after=3 110 "$program" &
+child=$!
+wait "$child"
 status=$?
+child=
 case $status in
 0 | 1 | 2) exit "$status" ;;
 *) exit 2 ;;
