--- a/review/stand-2/mod.rs
+++ b/review/stand-2/mod.rs
@@ -410,7 +410,11 @@
         let address = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
         let address = address.unwrap_or_else(|error| cannot_run(&error.to_string()));
         let folder = PathBuf::from(std::env::var("WORK").unwrap_or_else(|_| cannot_run("WORK is not set")));
+        // Each sidecar has a seed of its own; that of `n1` is the run's.
         let seed = std::env::var("SEED").unwrap_or_else(|_| "8c1f30d27a5be964".to_owned());
+        let seed = u64::from_str_radix(&seed, 16).unwrap_or_else(|_| cannot_run("SEED is not hexadecimal"));
+        let number: u64 = start.name.trim_start_matches('n').parse().unwrap_or(1);
+        let seed = format!("{:016x}", seed.wrapping_add(number.wrapping_sub(1).wrapping_mul(0x9e37_79b9_7f4a_7c15)));
         let config = format!(
             r#"{{"name":"{}","listen":"{address}","discovery":"{}","seed":"{seed}",
 "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{},"settings":{}}}"#,
