Open requests stay within the memory limit: buffers are charged to a budget

Cause: nothing bounded the memory of open requests but a number of connections at 256 KiB each, and a connection could take more. Bodies were collected in a buffer that doubles; hyper doubled the read buffer of each connection up to 32 KiB while it read a body, and an idle connection kept it; read-ahead and header maps came on top.

Change: a budget in bytes, one for requests and one for responses, is charged before a buffer is allocated and given back when its last reference is dropped (src/net/memory_budget.rs). A body takes one allocation of its length. A request without room is read, dropped and refused with 503, before anything of it is sent; a response without room stays unread in its socket until others have been written, which does not count as a stall. The budgets shrink with the number of listed upstreams. Reads return at most 4 KiB, so that read buffers stay at 8 KiB unless a head is longer.

--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
 use net::descriptors::{Descriptors, is_out_of_descriptors};
 use net::driver::{Driver, DriverEvent};
 use net::log;
+use net::memory_budget::MessageMemory;
 
 /// How long new client connections are expected after SIGTERM. Clients may connect for up to 0.4 s after it, and
 /// connections that are still in the accept queue then must be served as well.
@@ -64,14 +65,16 @@
     log::line(format!("listening on {address}"));
     let (phase_sender, phase_receiver) = watch::channel(ShutdownPhase::Serving);
     let (event_sender, event_receiver) = mpsc::unbounded_channel();
-    let descriptors = Arc::new(Descriptors::new(config.limits.connections_per_side()));
+    let connections_per_side = config.limits.connections_per_side();
+    let descriptors = Arc::new(Descriptors::new(connections_per_side));
+    let memory = Arc::new(MessageMemory::new(config.limits.memory_bytes(), connections_per_side));
     // Reloads stay possible during shutdown, so that discovery updates reach the requests still being served.
     tokio::spawn(reload_on_hangup(hangup, address, event_sender.clone(), descriptors.clone()));
     let shutdown_event_sender = event_sender.clone();
     let seed = config.seed();
     let longest_deadline = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
     let names = NameTable { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
-    let frontend = Arc::new(Frontend::new(names, phase_receiver, event_sender));
+    let frontend = Arc::new(Frontend::new(names, phase_receiver, event_sender, memory.requests.clone()));
     let driver = Driver::new(
         config.settings,
         seed,
@@ -79,6 +82,7 @@
         frontend.clone(),
         event_receiver,
         descriptors.clone(),
+        memory,
     );
     let mut driver_task = tokio::spawn(driver.run(config.saved_list));
     let mut serve_task = tokio::spawn(client::serve(listener, frontend, descriptors));
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -23,11 +23,12 @@
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::body::{BodyError, MAX_BODY_BYTES, read_body};
+use super::body::{BodyError, MAX_BODY_BYTES, body_capacity, discard_body, read_body};
 use super::client_stream::{ClientStream, DisconnectDetector};
 use super::descriptors::{Descriptors, is_out_of_descriptors};
 use super::driver::DriverEvent;
 use super::log;
+use super::memory_budget::{MemoryBudget, header_map_bytes};
 
 /// Length of the accept queue, in which clients wait while the sidecar starts or is busy.
 const LISTEN_BACKLOG: u32 = 4096;
@@ -51,6 +52,8 @@
 /// The delay after a failed accept. Without it, accepting in a busy loop while out of descriptors would starve the
 /// tasks that could free some.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// Header maps of an open request: the one that is forwarded, and a copy for an attempt.
+const HEADER_MAPS: usize = 2;
 /// The longest timeout that a request may ask for.
 const MAX_TIMEOUT_MS: u64 = 600_000;
 /// The id that the decision module uses for the first request.
@@ -85,6 +88,8 @@
     pub phase: watch::Receiver<ShutdownPhase>,
     /// Sends events to the driver.
     pub event_sender: mpsc::UnboundedSender<DriverEvent>,
+    /// The memory of requests.
+    memory: Arc<MemoryBudget>,
     /// The next id for the decision module. The values of X-Request-ID that clients choose need not be unique.
     next_request_id: AtomicU64,
 }
@@ -144,9 +149,11 @@
         names: NameTable,
         phase: watch::Receiver<ShutdownPhase>,
         event_sender: mpsc::UnboundedSender<DriverEvent>,
+        memory: Arc<MemoryBudget>,
     ) -> Frontend {
         Frontend {
             names,
+            memory,
             ready: AtomicBool::new(false),
             phase,
             event_sender,
@@ -298,7 +305,7 @@
     let initial_phase = *phase.borrow_and_update();
     let has_received_request = AtomicBool::new(false);
     let first_body_deadline = Instant::now() + BODY_READ_TIMEOUT;
-    let (stream, detector) = ClientStream::new(stream);
+    let (stream, detector) = ClientStream::new(stream, frontend.memory.empty_charge());
     let service = service_fn(|request| {
         let is_first = !has_received_request.swap(true, Ordering::Relaxed);
         let (frontend, detector) = (frontend.clone(), detector.clone());
@@ -417,8 +424,9 @@
             Err(RequestError { status, reason }) => return text_response(status, reason),
         };
     let (parts, body) = request.into_parts();
-    let body = match timeout_at(body_deadline, read_body(body)).await {
-        Ok(Ok(body)) => body,
+    let body = match timeout_at(body_deadline, receive_body(&parts.headers, body, &frontend.memory)).await {
+        Ok(Ok(Some(body))) => body,
+        Ok(Ok(None)) => return refusal(0.0),
         Ok(Err(BodyError::TooLong)) => {
             return text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         }
@@ -433,8 +441,9 @@
     let target = parts.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
     let request = RequestId(frontend.next_request_id.fetch_add(1, Ordering::Relaxed));
     let (response_sender, response_receiver) = oneshot::channel();
-    let forwarded =
-        ForwardedRequest { method: parts.method, target, headers: end_to_end_headers(&parts.headers), body };
+    let headers = end_to_end_headers(&parts.headers);
+    drop(parts.headers);
+    let forwarded = ForwardedRequest { method: parts.method, target, headers, body };
     // Dropped with this future, when the client has its response or has disconnected.
     let detector = Arc::new(detector);
     let client = Arc::downgrade(&detector);
@@ -460,19 +469,36 @@
             *response.headers_mut() = headers;
             response
         }
-        Ok(FinalResponse::Refused(retry_after)) => {
-            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
-            let seconds = HeaderValue::from_str(&format!("{:.3}", retry_after / 1_000.0));
-            if let (Ok(seconds), true) = (seconds, retry_after > 0.0) {
-                response.headers_mut().insert(header::RETRY_AFTER, seconds);
-            }
-            response
-        }
+        Ok(FinalResponse::Refused(retry_after)) => refusal(retry_after),
         Ok(FinalResponse::Rejected(status)) => text_response(status, "the request cannot be served"),
         Ok(FinalResponse::Failed) | Err(_) => text_response(StatusCode::BAD_GATEWAY, "failed"),
     }
 }
 
+/// Reads the body of a request into memory that is charged together with the head. `None` if the budget has no room:
+/// then the body is read without keeping it, since it must not be parsed as another request.
+async fn receive_body(
+    head: &HeaderMap,
+    body: Incoming,
+    memory: &Arc<MemoryBudget>,
+) -> Result<Option<Bytes>, BodyError> {
+    let head_bytes = HEADER_MAPS * header_map_bytes(head);
+    match memory.try_charge(head_bytes + body_capacity(&body)) {
+        Some(charge) => read_body(body, charge, head_bytes).await.map(Some),
+        None => discard_body(body).await.map(|()| None),
+    }
+}
+
+/// The response that refuses a request: the client may retry it, preferably after this delay.
+fn refusal(retry_after: Millis) -> Response<Full<Bytes>> {
+    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
+    let seconds = HeaderValue::from_str(&format!("{:.3}", retry_after / 1_000.0));
+    if let (Ok(seconds), true) = (seconds, retry_after > 0.0) {
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
 /// The validated contents of a request head.
 struct RequestHead {
     class: ClassId,
--- a/src/net/client_stream.rs
+++ b/src/net/client_stream.rs
@@ -12,6 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use super::bounded_read::{MAX_READ_BYTES, poll_read_bounded};
+use super::memory_budget::Charge;
+
 /// Capacity of the read-ahead buffer: room for the head of one pipelined request. Clients send one at a time, so more
 /// comes from none of them: further bytes are read and dropped to find the end of the stream, and the connection is
 /// unusable after the response.
@@ -27,6 +30,8 @@
     read_half: OwnedReadHalf,
     /// Read from the socket but not yet by hyper.
     read_ahead: BytesMut,
+    /// Covers the bytes in `read_ahead`.
+    charge: Charge,
     /// Whether bytes after those in `read_ahead` were dropped. The rest of the stream can no longer be parsed.
     overflowed: bool,
 }
@@ -34,11 +39,21 @@
 impl ReadSide {
     /// Appends pipelined bytes to the read-ahead buffer, or drops them if they do not fit.
     fn buffer(&mut self, bytes: &[u8]) {
-        self.overflowed |= self.read_ahead.len() + bytes.len() > READ_AHEAD_BYTES;
+        let fits = self.read_ahead.len() + bytes.len() <= READ_AHEAD_BYTES;
+        self.overflowed = self.overflowed || !fits || !self.charge.try_grow(bytes.len());
         if !self.overflowed {
             self.read_ahead.extend_from_slice(bytes);
         }
     }
+
+    /// Removes bytes that hyper has read from the read-ahead buffer, and frees it once it is empty.
+    fn consume(&mut self, count: usize) {
+        self.read_ahead.advance(count);
+        self.charge.shrink_to(self.read_ahead.len());
+        if self.read_ahead.is_empty() {
+            self.read_ahead = BytesMut::new();
+        }
+    }
 }
 
 /// The stream of a client connection that hyper reads from and writes to.
@@ -56,11 +71,16 @@
 }
 
 impl ClientStream {
-    /// Wraps a stream and returns it with its detector.
-    pub fn new(stream: TcpStream) -> (ClientStream, DisconnectDetector) {
+    /// Wraps a stream and returns it with its detector. Bytes that are read ahead are charged with `charge`, which is
+    /// empty at first.
+    pub fn new(stream: TcpStream, charge: Charge) -> (ClientStream, DisconnectDetector) {
         let (read_half, write_half) = stream.into_split();
-        let read_side =
-            Arc::new(Mutex::new(ReadSide { read_half, read_ahead: BytesMut::new(), overflowed: false }));
+        let read_side = Arc::new(Mutex::new(ReadSide {
+            read_half,
+            read_ahead: BytesMut::new(),
+            charge,
+            overflowed: false,
+        }));
         let detector = DisconnectDetector(read_side.clone());
         (ClientStream { read_side, write_half }, detector)
     }
@@ -105,9 +125,9 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let read_side = &mut *lock(&self.read_side);
         if !read_side.read_ahead.is_empty() {
-            let count = read_side.read_ahead.len().min(buf.remaining());
+            let count = read_side.read_ahead.len().min(buf.remaining()).min(MAX_READ_BYTES);
             buf.put_slice(&read_side.read_ahead[..count]);
-            read_side.read_ahead.advance(count);
+            read_side.consume(count);
             return Poll::Ready(Ok(()));
         }
         if read_side.overflowed {
@@ -116,7 +136,7 @@
                 "pipelined bytes exceed the read-ahead buffer",
             )));
         }
-        Pin::new(&mut read_side.read_half).poll_read(cx, buf)
+        poll_read_bounded(Pin::new(&mut read_side.read_half), cx, buf)
     }
 }
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -36,9 +36,11 @@
 const HASH_START: u64 = 7;
 const HASH_MULTIPLIER: u64 = 31;
 
-/// Memory of a client connection under load, in KiB: its buffer and a body in each direction, and the same for the
-/// connection to the upstream.
+/// Memory of a client connection and an upstream connection under load, in KiB: their read buffers, and a body in each
+/// direction within the [memory budget](super::memory_budget).
 const CONNECTION_KIB: usize = 256;
+/// Bytes in a MiB.
+const MIB: usize = 1 << 20;
 /// Minimum number of file descriptors; fewer leave too few for connections on both sides.
 const MIN_SOCKETS: usize = 64;
 
@@ -60,6 +62,11 @@
 }
 
 impl Limits {
+    /// Memory in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_mb.saturating_mul(MIB)
+    }
+
     /// Maximum number of connections on each side within the descriptors and the memory.
     pub fn connections_per_side(&self) -> usize {
         let memory_limit = self.memory_mb.saturating_mul(1024) / CONNECTION_KIB;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -24,8 +24,10 @@
 use super::discovery::{AbortOnDrop, Watch};
 use super::host_list::HostList;
 use super::log;
+use super::memory_budget::MessageMemory;
 use super::upstream_connection::{
-    AttemptResult, ConnectError, Connection, ProbeConnection, UpstreamResponse, run_attempt, run_probe,
+    AttemptResult, Connect, ConnectError, Connection, ProbeConnection, UpstreamResponse, run_attempt,
+    run_probe,
 };
 use super::upstream_registry::UpstreamRegistry;
 
@@ -185,6 +187,7 @@
     timers: BTreeMap<(Instant, u64), Timer>,
     last_timer_number: u64,
     descriptors: Arc<Descriptors>,
+    memory: Arc<MessageMemory>,
     probe_timeout: Duration,
     /// A buffer that is reused for the module's actions.
     actions: Vec<Action>,
@@ -201,6 +204,7 @@
         frontend: Arc<Frontend>,
         event_receiver: mpsc::UnboundedReceiver<DriverEvent>,
         descriptors: Arc<Descriptors>,
+        memory: Arc<MessageMemory>,
     ) -> Driver {
         let unix_time = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let mut module_settings = settings.to_settings();
@@ -230,6 +234,7 @@
             timers: BTreeMap::new(),
             last_timer_number: 0,
             descriptors,
+            memory,
             probe_timeout: Duration::from_secs_f64(
                 settings.shortest_latency_target_ms() * PROBE_TIMEOUT_FRACTION / 1e3,
             ),
@@ -535,23 +540,29 @@
         if let Some(state) = self.attempts.get_mut(&(in_flight.request, in_flight.attempt)) {
             state.cancel = Some(cancel);
         }
-        let connect_deadline =
-            Instant::now() + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
-        let (event_sender, descriptors) = (self.event_sender.clone(), self.descriptors.clone());
+        let connect = self.connect(address, in_flight.deadline, permit);
+        let event_sender = self.event_sender.clone();
         tokio::spawn(async move {
             let result = tokio::select! {
-                result = Connection::open(
-                    address,
-                    connect_deadline.min(in_flight.deadline),
-                    permit,
-                    &descriptors,
-                ) => result,
+                result = connect.open() => result,
                 _ = cancelled => Err(ConnectError::Cancelled),
             };
             let _ = event_sender.send(DriverEvent::ConnectFinished(in_flight, result.map(Box::new)));
         });
     }
 
+    /// Opens a connection within the connect timeout and until `deadline`.
+    fn connect(&self, address: SocketAddr, deadline: Instant, permit: OwnedSemaphorePermit) -> Connect {
+        let connect_timeout = Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
+        Connect {
+            address,
+            deadline: deadline.min(Instant::now() + connect_timeout),
+            permit,
+            descriptors: self.descriptors.clone(),
+            memory: self.memory.responses.clone(),
+        }
+    }
+
     /// Returns a permit for one more upstream connection. Closes idle connections if the limit is reached.
     fn acquire_connection_permit(&mut self) -> Option<OwnedSemaphorePermit> {
         while self.descriptors.is_over_limit(1) && self.close_oldest_idle() {}
@@ -697,7 +708,7 @@
     /// Starts a probe over an idle or a new connection. If none is available, the probe ends without a response.
     fn start_probe(&mut self, upstream: UpstreamId) {
         let idle_timeout = self.idle_timeout();
-        let now = Instant::now();
+        let deadline = Instant::now() + self.probe_timeout;
         let no_response = DriverEvent::ProbeFinished { upstream, response: None };
         let Some(server) = self.upstreams.get_mut(upstream) else {
             let _ = self.event_sender.send(no_response);
@@ -707,11 +718,7 @@
         let source = match server.pool.take(idle_timeout) {
             Some(connection) => ProbeConnection::Idle(Box::new(connection)),
             None => match self.acquire_connection_permit() {
-                Some(permit) => {
-                    let connect_deadline =
-                        now + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
-                    ProbeConnection::Connect(address, connect_deadline, permit, self.descriptors.clone())
-                }
+                Some(permit) => ProbeConnection::New(self.connect(address, deadline, permit)),
                 None => {
                     let _ = self.event_sender.send(no_response);
                     return;
@@ -724,14 +731,7 @@
         if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
             request.headers_mut().insert(header::HOST, host);
         }
-        tokio::spawn(run_probe(
-            source,
-            request,
-            upstream,
-            incarnation,
-            now + self.probe_timeout,
-            self.event_sender.clone(),
-        ));
+        tokio::spawn(run_probe(source, request, upstream, incarnation, deadline, self.event_sender.clone()));
     }
 
     // --- Host list ---------------------------------------------------------------------------
@@ -746,6 +746,7 @@
         let is_complete = list.is_snapshot || restored;
         let now = self.module_time(Instant::now());
         let records = self.upstreams.apply_list(list, is_complete, &self.settings, now);
+        self.memory.set_listed_upstreams(self.upstreams.len());
         self.frontend.ready.fetch_or(!records.is_empty() || (is_complete && !restored), Ordering::Relaxed);
         self.notify_module(Event::DiscoveryUpdated(match (restored, is_complete) {
             (true, _) => DiscoveryUpdate::Restored(records),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! tasks send it events through a channel.
 
 pub mod body;
+pub mod bounded_read;
 pub mod client;
 pub mod client_stream;
 pub mod config;
@@ -10,6 +11,7 @@
 pub mod driver;
 pub mod host_list;
 pub mod log;
+pub mod memory_budget;
 pub mod upstream_connection;
 pub mod upstream_registry;
 pub mod upstream_stream;
--- a/src/net/upstream_connection.rs
+++ b/src/net/upstream_connection.rs
@@ -14,11 +14,12 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use super::body::{BodyError, MAX_BODY_BYTES, read_body};
+use super::body::{BodyError, MAX_BODY_BYTES, body_capacity, read_body};
 use super::client_stream::DisconnectDetector;
 use super::descriptors::Descriptors;
 use super::driver::{DriverEvent, InFlightAttempt};
 use super::log;
+use super::memory_budget::{MemoryBudget, header_map_bytes};
 use super::upstream_stream::{ExchangeProgress, UpstreamStream};
 
 /// Limit on the size of a response head; hyper also reads bodies through a buffer of this size.
@@ -47,6 +48,8 @@
     /// The task that runs the connection.
     task: JoinHandle<()>,
     progress: Arc<ExchangeProgress>,
+    /// The memory of responses.
+    memory: Arc<MemoryBudget>,
     /// Whether the connection has carried a request before.
     pub used: bool,
     /// When the last exchange ended, or when the connection was opened.
@@ -55,14 +58,24 @@
     _permit: OwnedSemaphorePermit,
 }
 
-impl Connection {
-    /// Opens a connection, or fails at `deadline`.
-    pub async fn open(
-        address: SocketAddr,
-        deadline: Instant,
-        permit: OwnedSemaphorePermit,
-        descriptors: &Descriptors,
-    ) -> Result<Connection, ConnectError> {
+/// What is needed to open a connection.
+pub struct Connect {
+    /// The address of the upstream.
+    pub address: SocketAddr,
+    /// When connecting fails.
+    pub deadline: Instant,
+    /// Counts the connection against the limit.
+    pub permit: OwnedSemaphorePermit,
+    /// The limit on connections.
+    pub descriptors: Arc<Descriptors>,
+    /// The memory of the responses that are read from the connection.
+    pub memory: Arc<MemoryBudget>,
+}
+
+impl Connect {
+    /// Opens the connection.
+    pub async fn open(self) -> Result<Connection, ConnectError> {
+        let Connect { address, deadline, permit, descriptors, memory } = self;
         let mut exhausted = false;
         let stream = match timeout_at(deadline, descriptors.connect(address, &mut exhausted)).await {
             Ok(Ok(stream)) => stream,
@@ -82,9 +95,12 @@
             // Errors are reported by the exchange that fails.
             let _ = connection.await;
         });
-        Ok(Connection { sender, task, progress, used: false, idle_since: Instant::now(), _permit: permit })
+        let idle_since = Instant::now();
+        Ok(Connection { sender, task, progress, memory, used: false, idle_since, _permit: permit })
     }
+}
 
+impl Connection {
     /// Whether the connection is open and free, as far as is known on this side.
     pub fn is_usable(&self) -> bool {
         self.sender.is_ready()
@@ -208,7 +224,7 @@
     if !client_connected() {
         return Err(ExchangeError::ClientDisconnected);
     }
-    let Connection { sender, progress, .. } = connection;
+    let Connection { sender, progress, memory, .. } = connection;
     let connection_error = || {
         if progress.bytes_written() < request_end {
             ExchangeError::RequestIncomplete
@@ -224,7 +240,13 @@
     if let Some(reason) = framing_error(&head) {
         return Err(ExchangeError::InvalidResponse(reason));
     }
-    match read_body(body).await {
+    let head_bytes = header_map_bytes(&head.headers);
+    let response_bytes = head_bytes + body_capacity(&body);
+    // Without room the body stays unread in the socket until other responses have been written to their clients.
+    progress.set_waiting_for_memory(true);
+    let charge = memory.charge(response_bytes).await;
+    progress.set_waiting_for_memory(false);
+    match read_body(body, charge, head_bytes).await {
         Ok(body) => {
             progress.mark_response_complete();
             Ok(UpstreamResponse { status: head.status, headers: head.headers, body })
@@ -243,8 +265,8 @@
         while idle_intervals < INTERVALS_BEFORE_STALL {
             sleep(STALL_CHECK_INTERVAL).await;
             let read = progress.bytes_read();
-            (idle_intervals, last_read) =
-                if read == last_read { (idle_intervals + 1, last_read) } else { (0, read) };
+            let idle = read == last_read && !progress.is_waiting_for_memory();
+            (idle_intervals, last_read) = if idle { (idle_intervals + 1, last_read) } else { (0, read) };
         }
         // What was read may have been an informational response, complete by now.
         if progress.is_reading_response() {
@@ -360,9 +382,7 @@
 ) {
     let opened = match source {
         ProbeConnection::Idle(connection) => Ok(*connection),
-        ProbeConnection::Connect(address, connect_deadline, permit, descriptors) => {
-            Connection::open(address, connect_deadline.min(deadline), permit, &descriptors).await
-        }
+        ProbeConnection::New(connect) => connect.open().await,
     };
     let mut response = None;
     if let Ok(mut connection) = opened {
@@ -403,8 +423,8 @@
 pub enum ProbeConnection {
     /// An idle connection of the pool.
     Idle(Box<Connection>),
-    /// A new connection: the address, the connect deadline, and what is needed to open it.
-    Connect(SocketAddr, Instant, OwnedSemaphorePermit, Arc<Descriptors>),
+    /// A new connection.
+    New(Connect),
 }
 
 /// The idle connections to one upstream, in the order in which they were returned.
--- a/src/net/upstream_registry.rs
+++ b/src/net/upstream_registry.rs
@@ -54,6 +54,11 @@
         UpstreamRegistry { ids: HashMap::new(), by_id: BTreeMap::new(), last_id: 1, epoch_unix_ms }
     }
 
+    /// The number of upstreams, including those that are gone and have an attempt in flight.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
     /// Returns an upstream.
     pub fn get(&self, id: UpstreamId) -> Option<&RegisteredUpstream> {
         self.by_id.get(&id)
--- a/src/net/upstream_stream.rs
+++ b/src/net/upstream_stream.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::bounded_read::poll_read_bounded;
+
 /// Progress of the exchanges on a connection, shared with the stream that hyper owns. The byte counts are totals of the
 /// connection.
 #[derive(Default)]
@@ -24,6 +26,8 @@
     request_outstanding: AtomicBool,
     /// Whether a response has started that is not complete.
     reading_response: AtomicBool,
+    /// Whether the rest of the response stays unread until the memory budget has room for it.
+    waiting_for_memory: AtomicBool,
     /// Notified when a response starts.
     response_start: Notify,
 }
@@ -54,6 +58,16 @@
         }
     }
 
+    /// Records whether the rest of the response stays unread until the memory budget has room for it.
+    pub fn set_waiting_for_memory(&self, waiting: bool) {
+        self.waiting_for_memory.store(waiting, Ordering::Relaxed);
+    }
+
+    /// Whether the rest of the response stays unread until the memory budget has room for it.
+    pub fn is_waiting_for_memory(&self) -> bool {
+        self.waiting_for_memory.load(Ordering::Relaxed)
+    }
+
     /// Whether a response has started that is not complete.
     pub fn is_reading_response(&self) -> bool {
         self.reading_response.load(Ordering::Relaxed)
@@ -136,7 +150,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(poll_read_bounded(Pin::new(&mut self.stream), cx, buf))?;
         let recorded = self.progress.record_read(buf.filled().len() - filled_before);
         // Under Nagle's algorithm the upstream's kernel holds back a small write until our acknowledgement, which can
         // be delayed by up to 40 ms. The error of platforms without TCP_QUICKACK is ignored.
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -14,6 +14,10 @@
 
 /// Number of bytes in the longest request or response body that the sidecar forwards.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
+/// The lowest memory limit of a deployment.
+const LOWEST_MEMORY_LIMIT_MIB: u64 = 32;
+/// The same in KiB.
+pub const LOWEST_MEMORY_LIMIT_KIB: u64 = LOWEST_MEMORY_LIMIT_MIB << 10;
 /// Upper bound on every wait in these tests; reaching it fails the test.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -449,6 +453,18 @@
         (sidecar, discovery)
     }
 
+    /// Starts a sidecar with the lowest memory limit and long timeouts that knows this host list and a discovery server
+    /// that sends it, and waits until the sidecar is up.
+    pub fn with_lowest_memory_limit(known: &str) -> (Sidecar, Discovery) {
+        let discovery = Discovery::new(known);
+        let settings = long_timeout_settings_json();
+        let config = config_json("127.0.0.1:0", discovery.address, known, 1024, &settings);
+        let memory_limit = format!(r#""memory_mb":{LOWEST_MEMORY_LIMIT_MIB}"#);
+        let sidecar = Sidecar::start(&config.replace(r#""memory_mb":192"#, &memory_limit));
+        sidecar.wait_until_up();
+        (sidecar, discovery)
+    }
+
     /// Waits until a log line contains this text.
     pub fn wait_for_log(&self, text: &str) {
         wait_until(&format!("the log contains {text:?}"), || {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -6,9 +6,6 @@
 
 use loopback::*;
 
-/// The lowest memory limit of a deployment.
-const MEMORY_LIMIT_MIB: u64 = 32;
-const KIB_PER_MIB: u64 = 1 << 10;
 /// Number of peers that send slowly at the same time; fewer than the 85 requests that may be open with the fewest
 /// descriptors of a deployment, 256.
 const SLOW_PEERS: usize = 60;
@@ -20,17 +17,7 @@
 /// Starts a sidecar with the lowest memory limit.
 fn start_sidecar(upstreams: &[Upstream]) -> (Sidecar, Discovery) {
     let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
-    start_sidecar_with_list(&ready_addresses(&addresses))
-}
-
-/// Starts a sidecar with the lowest memory limit that has this list from its configuration and from discovery.
-fn start_sidecar_with_list(list: &str) -> (Sidecar, Discovery) {
-    let discovery = Discovery::new(list);
-    let config = config_json("127.0.0.1:0", discovery.address, list, 1024, &long_timeout_settings_json());
-    let memory_limit = format!(r#""memory_mb":{MEMORY_LIMIT_MIB}"#);
-    let sidecar = Sidecar::start(&config.replace(r#""memory_mb":192"#, &memory_limit));
-    sidecar.wait_until_up();
-    (sidecar, discovery)
+    Sidecar::with_lowest_memory_limit(&ready_addresses(&addresses))
 }
 
 /// Guards against a request body that keeps a whole read buffer for each piece: a sidecar with some tens of slow
@@ -54,7 +41,7 @@
     }
     let statuses: Vec<u16> =
         clients.iter_mut().map(|client| client.read().expect("a response").status()).collect();
-    assert!(peak_kib < MEMORY_LIMIT_MIB * KIB_PER_MIB, "{peak_kib} KiB");
+    assert!(peak_kib < LOWEST_MEMORY_LIMIT_KIB, "{peak_kib} KiB");
     assert!(statuses.contains(&200), "no body was complete in time: {statuses:?}");
     assert!(upstream.requests().iter().all(|request| request.body == [b'x'; PIECES]), "a body was changed");
 }
@@ -86,7 +73,7 @@
         let received: Vec<Message> =
             clients.iter_mut().map(|client| client.read().expect("a response")).collect();
         let description = String::from_utf8_lossy(head);
-        assert!(peak_kib < MEMORY_LIMIT_MIB * KIB_PER_MIB, "{peak_kib} KiB: {description}");
+        assert!(peak_kib < LOWEST_MEMORY_LIMIT_KIB, "{peak_kib} KiB: {description}");
         let sent = upstreams.iter().filter(|upstream| !upstream.requests().is_empty()).count();
         assert!(sent > SLOW_PEERS / 2, "only {sent} requests were sent: {description}");
         let served: Vec<&Message> = received.iter().filter(|response| response.status() == 200).collect();
@@ -109,7 +96,7 @@
         [vec![valid_entry], (0..100_000).map(|number| format!(r#"{{"host":"{number:04x}"}}"#)).collect()]
             .concat(),
     ] {
-        let (sidecar, discovery) = start_sidecar_with_list(&host_list(5, true, &entries));
+        let (sidecar, discovery) = Sidecar::with_lowest_memory_limit(&host_list(5, true, &entries));
         let mut client = Client::connect(sidecar.address);
         assert_eq!(client.exchange("bill").body, b"served");
         // Discovery sends this delta behind the list: once it is applied, the list has been.
@@ -121,6 +108,6 @@
             !added.requests().is_empty()
         });
         let peak_kib = sidecar.peak_memory_kib();
-        assert!(peak_kib < MEMORY_LIMIT_MIB * KIB_PER_MIB, "{peak_kib} KiB with {} entries", entries.len());
+        assert!(peak_kib < LOWEST_MEMORY_LIMIT_KIB, "{peak_kib} KiB with {} entries", entries.len());
     }
 }
--- a/tests/unit/net_body.rs
+++ b/tests/unit/net_body.rs
@@ -8,6 +8,7 @@
 use hyper::body::Frame;
 
 use super::*;
+use crate::net::memory_budget::MemoryBudget;
 
 /// A read buffer of a connection; the test counts the references to it.
 struct ReadBuffer(Arc<[u8]>);
@@ -49,16 +50,38 @@
     }
 }
 
+/// Reads a body with a budget that it just fits into; returns the result and the bytes that are charged for it.
+async fn read(body: &mut SlowBody) -> (Result<Bytes, BodyError>, usize) {
+    let budget = MemoryBudget::new(MAX_BODY_BYTES);
+    let charge = budget.try_charge(MAX_BODY_BYTES).expect("an empty budget");
+    let result = read_body(body, charge, 0).await;
+    (result, budget.charged())
+}
+
 /// Guards against memory for a read buffer per frame.
 #[tokio::test]
 async fn no_read_buffer_is_kept_while_the_body_is_read() {
     let mut body = SlowBody::new(MAX_BODY_BYTES);
-    assert_eq!(read_body(&mut body).await, Ok(Bytes::from(vec![b'x'; MAX_BODY_BYTES])));
+    assert_eq!(read(&mut body).await, (Ok(Bytes::from(vec![b'x'; MAX_BODY_BYTES])), MAX_BODY_BYTES));
     assert_eq!(body.most_buffers_held, 0);
 }
 
 #[tokio::test]
 async fn longer_bodies_are_errors() {
     let mut body = SlowBody::new(MAX_BODY_BYTES + 1);
-    assert_eq!(read_body(&mut body).await, Err(BodyError::TooLong));
+    assert_eq!(read(&mut body).await, (Err(BodyError::TooLong), 0));
+}
+
+/// Guards against a charge that ends before its body, or never.
+#[tokio::test]
+async fn a_body_is_charged_until_its_last_reference_is_dropped() {
+    let budget = MemoryBudget::new(MAX_BODY_BYTES);
+    let charge = budget.try_charge(MAX_BODY_BYTES).expect("an empty budget");
+    let body = read_body(&mut SlowBody::new(100), charge, 20).await.expect("a short body");
+    assert_eq!(budget.charged(), 120, "the head and the body");
+    let copy = body.clone();
+    drop(body);
+    assert_eq!(budget.charged(), 120);
+    drop(copy);
+    assert_eq!(budget.charged(), 0);
 }
