Ids of requests that may have run are not run again

Cause: the driver rejected an id only while a request with it was pending, and a request whose client has left is not.

A repeat gets 409, which claims nothing about whether the request has run. Ids whose attempts provably did not run may come again.

Tests: an_id_that_may_have_run_is_not_run_again_after_its_client_disconnected fails on the old code: the repeat is sent and hangs with it.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -25,6 +25,7 @@
 use super::host_list::HostList;
 use super::log;
 use super::memory_budget::MessageMemory;
+use super::recent_request_ids::RecentRequestIds;
 use super::upstream_connection::{
     AttemptResult, Connect, ConnectError, Connection, ProbeConnection, UpstreamResponse, run_attempt,
     run_probe,
@@ -124,6 +125,8 @@
 struct AttemptState {
     in_flight: InFlightAttempt,
     started_at: Instant,
+    /// Whether the request may have been written to a connection.
+    sent: bool,
     /// Dropped to cancel the attempt; `None` if the attempt is cancelled or not yet connecting.
     cancel: Option<oneshot::Sender<()>>,
 }
@@ -137,6 +140,8 @@
     client: Weak<DisconnectDetector>,
     response_sender: oneshot::Sender<FinalResponse>,
     attempts_started: u32,
+    /// Whether an attempt that has ended may have run the request.
+    may_have_run: bool,
     /// The module's deadline.
     deadline: Instant,
     /// The key of the deadline timer.
@@ -181,6 +186,8 @@
     pending: HashMap<RequestId, PendingRequest>,
     /// The X-Request-ID values of the pending requests.
     pending_x_request_ids: HashSet<Box<str>>,
+    /// The X-Request-ID values of the requests that have ended and may have run.
+    recent_x_request_ids: RecentRequestIds,
     attempts: BTreeMap<(RequestId, AttemptNo), AttemptState>,
     upstreams: UpstreamRegistry,
     /// Timers by expiry time; the number distinguishes timers of the same time.
@@ -229,6 +236,7 @@
             epoch: Instant::now(),
             pending: HashMap::new(),
             pending_x_request_ids: HashSet::new(),
+            recent_x_request_ids: RecentRequestIds::default(),
             attempts: BTreeMap::new(),
             upstreams: UpstreamRegistry::new(unix_time.map_or(0.0, |since| since.as_secs_f64() * 1e3)),
             timers: BTreeMap::new(),
@@ -331,9 +339,8 @@
     /// the process was suspended, are reported to the module as timed out first, so that it can choose the final
     /// response. A request that the module does not end even then fails.
     fn end_at_deadline(&mut self, request: RequestId) {
-        let all_attempts = (request, AttemptNo(0))..=(request, AttemptNo(u32::MAX));
         let in_flight_attempts: Vec<InFlightAttempt> =
-            self.attempts.range(all_attempts).map(|(_, state)| state.in_flight).collect();
+            self.attempts_of(request).map(|state| state.in_flight).collect();
         for in_flight in in_flight_attempts {
             self.on_attempt_finished(in_flight, AttemptResult::Outcome(Outcome::TimedOut, None));
         }
@@ -421,7 +428,10 @@
             return;
         }
         // Upstreams identify a request by its X-Request-ID and would take a second one with the same value for a retry.
-        if !self.pending_x_request_ids.insert(x_request_id.clone()) {
+        // It must not run again, and the client must not be told that it has not run.
+        if self.recent_x_request_ids.contains(&x_request_id, Instant::now())
+            || !self.pending_x_request_ids.insert(x_request_id.clone())
+        {
             let _ = response_sender.send(FinalResponse::Rejected(StatusCode::CONFLICT));
             return;
         }
@@ -436,6 +446,7 @@
             client,
             response_sender,
             attempts_started: 0,
+            may_have_run: false,
             deadline,
             deadline_timer,
         };
@@ -467,9 +478,18 @@
         let pending = self.pending.remove(&request)?;
         self.timers.remove(&pending.deadline_timer);
         self.pending_x_request_ids.remove(&pending.x_request_id);
+        if pending.may_have_run || self.attempts_of(request).any(|state| state.sent) {
+            self.recent_x_request_ids.remember(&pending.x_request_id, Instant::now());
+        }
         Some(pending)
     }
 
+    /// The attempts of a request that have not ended.
+    fn attempts_of(&self, request: RequestId) -> impl Iterator<Item = &AttemptState> {
+        let all_attempts = (request, AttemptNo(0))..=(request, AttemptNo(u32::MAX));
+        self.attempts.range(all_attempts).map(|(_, state)| state)
+    }
+
     /// Sends the final response to a request that is still pending. Returns whether it could be handed over.
     fn respond(&mut self, request: RequestId, response: FinalResponse) -> bool {
         let Some(pending) = self.remove_pending(request) else { return false };
@@ -518,7 +538,8 @@
         };
         let incarnation = self.upstreams.get(upstream).map_or(0, |server| server.incarnation);
         let in_flight = InFlightAttempt { request, attempt, upstream, incarnation, deadline };
-        self.attempts.insert((request, attempt), AttemptState { in_flight, started_at: now, cancel: None });
+        let state = AttemptState { in_flight, started_at: now, sent: false, cancel: None };
+        self.attempts.insert((request, attempt), state);
         self.send_or_connect(in_flight);
     }
 
@@ -626,6 +647,7 @@
         let (cancel, cancelled) = oneshot::channel();
         if let Some(state) = self.attempts.get_mut(&key) {
             state.cancel = Some(cancel);
+            state.sent = true;
         }
         let (client, event_sender) = (pending.client.clone(), self.event_sender.clone());
         tokio::spawn(run_attempt(connection, request, body_len, client, in_flight, cancelled, event_sender));
@@ -643,6 +665,11 @@
     /// attempt whose connection was found closed before anything was written continues over another connection instead.
     fn on_attempt_finished(&mut self, in_flight: InFlightAttempt, result: AttemptResult) {
         let key = (in_flight.request, in_flight.attempt);
+        let nothing_written =
+            matches!(result, AttemptResult::StaleConnection | AttemptResult::ClientDisconnected);
+        if let Some(state) = self.attempts.get_mut(&key).filter(|_| nothing_written) {
+            state.sent = false;
+        }
         let (outcome, response) = match result {
             AttemptResult::Outcome(outcome, response) => (outcome, response),
             // Nothing was written: unless cancelled or late, the same attempt continues over another connection.
@@ -660,6 +687,9 @@
             }
         };
         let Some(state) = self.attempts.remove(&key) else { return };
+        if let Some(pending) = self.pending.get_mut(&in_flight.request) {
+            pending.may_have_run |= state.sent && outcome.may_have_run();
+        }
         let latency = state.started_at.elapsed().as_secs_f64() * 1e3;
         let report = response.as_ref().and_then(|response| {
             let text =
--- a/tests/client_disconnects.rs
+++ b/tests/client_disconnects.rs
@@ -444,3 +444,27 @@
         assert_eq!(count_received(&received, "fetch"), before, "sent after the client disconnected");
     }
 }
+
+/// Guards against running a request twice: its client disconnects while an attempt is in flight, and the same id comes
+/// again on another connection. The answer must not claim that the request has not run.
+#[test]
+fn an_id_that_may_have_run_is_not_run_again_after_its_client_disconnected() {
+    for class in ["fetch", "log", "bill"] {
+        for (how, pipelined) in disconnect_cases() {
+            let upstream = Upstream::new(|_| Behaviour::NoResponse);
+            let (sidecar, _discovery) = Sidecar::for_upstreams(&[&upstream]);
+            let mut leaving = Client::connect(sidecar.address);
+            let request = http_request(class, 60_000);
+            leaving.write(request.as_bytes());
+            wait_until("the upstream receives the request", || upstream.requests().len() == 1);
+            let _half_closed = disconnect_after_write(leaving, how, &pipelined);
+            let connection = upstream.requests()[0].connection;
+            wait_until("the attempt is cancelled", || upstream.close_sequence(connection).is_some());
+            let mut repeating = Client::connect(sidecar.address);
+            repeating.write(request.as_bytes());
+            let status = repeating.read().expect("a response").status();
+            assert_eq!(status, 409, "{class}, {how:?}, {} pipelined bytes", pipelined.len());
+            assert_eq!(upstream.requests().len(), 1, "{class}, {how:?}");
+        }
+    }
+}
