Move the parsing of request heads out of client.rs

The parser, its errors and the names it accepts have a module of their own, request_head.rs; no behaviour changes.

--- a/src/main.rs
+++ b/src/main.rs
@@ -12,12 +12,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use net::client::{self, Frontend, NameTable, ShutdownPhase};
+use net::client::{self, Frontend, ShutdownPhase};
 use net::config::Config;
 use net::descriptors::{Descriptors, is_out_of_descriptors};
 use net::driver::{Driver, DriverEvent};
 use net::log;
 use net::memory_budget::MessageMemory;
+use net::request_head::NameTable;
 
 /// How long new client connections are expected after SIGTERM. Clients may connect for up to 0.4 s after it, and
 /// connections that are still in the accept queue then must be served as well.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod log;
 pub mod memory_budget;
 pub mod recent_request_ids;
+pub mod request_head;
 pub mod upstream_connection;
 pub mod upstream_registry;
 pub mod upstream_stream;
