Test: a response that waits for memory does not count as stalled

A response whose body stays unread because the budget is used up must not fail its attempt, which may have run.

--- a/src/net/upstream_connection.rs
+++ b/src/net/upstream_connection.rs
@@ -471,3 +471,7 @@
         self.idle.clear();
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/net_upstream_connection.rs"]
+mod tests;
