--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -71,10 +71,7 @@
 const MAX_EJECTION_DURATION: Millis = 8_000.0;
 /// Statistics of machine types without listed servers are removed above this number of types.
 const MAX_MACHINE_TYPES: usize = 64;
-/// Initial backoff of a subscription to discovery as a fraction of the time in which one is required.
-const SUBSCRIBE_BACKOFF_FRACTION: f64 = 0.25;
-/// Two backoffs and a call that hangs for 2.5 s must fit in the 6 s after which an update counts as missed.
-const MAX_SUBSCRIBE_BACKOFF: Millis = 1_500.0;
+/// Token of the timer for a subscription to discovery.
 const SUBSCRIBE_TIMER_TOKEN: u64 = 0;
 
 /// The decision module of one sidecar. The same settings, seed and events produce the same actions.
@@ -121,7 +118,7 @@
             Event::RequestAbandoned(request) => self.close_request(request, out),
             Event::ProbeFinished { upstream, answered, report } => self.on_probe(upstream, answered, report),
             Event::DiscoveryUpdated(update) => self.on_discovery(update, out),
-            Event::TimerFired(SUBSCRIBE_TIMER_TOKEN) if std::mem::take(&mut self.state.subscribe_pending) => {
+            Event::TimerFired(SUBSCRIBE_TIMER_TOKEN) if self.state.subscription_requests.take_scheduled() => {
                 out.push(Action::Subscribe)
             }
             Event::TimerFired(_) => {}
@@ -565,14 +562,12 @@
 
     fn on_discovery(&mut self, update: DiscoveryUpdate, out: &mut Vec<Action>) {
         self.state.fleet_utilisation_updated_at.get_or_insert(self.now);
-        let failed = update == DiscoveryUpdate::Unavailable;
-        let must_subscribe = failed || matches!(update, DiscoveryUpdate::Restored(_));
         let (now, rng, list) = (self.now, &mut self.rng, &mut self.server_list);
-        match update {
+        match &update {
             DiscoveryUpdate::Restored(records) | DiscoveryUpdate::Snapshot(records) => {
-                list.apply(&records, true, now, rng)
+                list.apply(records, true, now, rng)
             }
-            DiscoveryUpdate::Delta(records) => list.apply(&records, false, now, rng),
+            DiscoveryUpdate::Delta(records) => list.apply(records, false, now, rng),
             DiscoveryUpdate::Unavailable => out.push(Action::Log("discovery is unavailable".to_owned())),
         }
         if self.state.machine_types.len() > MAX_MACHINE_TYPES {
@@ -580,13 +575,9 @@
             self.state.machine_types.retain(|machine_type, _| listed.contains(machine_type));
         }
         let DiscoveryMode::Subscribe { subscribe_within } = self.settings.discovery else { return };
-        let initial_backoff = SUBSCRIBE_BACKOFF_FRACTION * subscribe_within;
-        let backoff = if failed { 2.0 * self.state.subscribe_backoff } else { initial_backoff };
-        self.state.subscribe_backoff = backoff.min(subscribe_within.min(MAX_SUBSCRIBE_BACKOFF));
-        if must_subscribe && !std::mem::replace(&mut self.state.subscribe_pending, true) {
-            // Full jitter: many sidecars may lose discovery at once, and it serves few calls at a time.
-            let at = self.now + self.state.subscribe_backoff * self.rng.rand_float();
-            out.push(Action::SetTimer { at, token: SUBSCRIBE_TIMER_TOKEN });
+        let requests = &mut self.state.subscription_requests;
+        if let Some(wait) = requests.wait_after(&update, subscribe_within, &mut self.rng) {
+            out.push(Action::SetTimer { at: self.now + wait, token: SUBSCRIBE_TIMER_TOKEN });
         }
     }
 }
--- a/src/model.rs
+++ b/src/model.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::api::*;
+use crate::subscription::RequestSchedule;
 use crate::subset::RATE_TIME_CONSTANT;
 
 /// Capacity of a cold server's token bucket; small, as many sidecars may spend their tokens at once.
@@ -257,10 +258,8 @@
     pub fleet_utilisation_updated_at: Option<Millis>,
     /// Time of the first report from which a capacity can be estimated.
     pub first_report_at: Option<Millis>,
-    /// Upper bound of the random delay before the next subscription to discovery.
-    pub subscribe_backoff: Millis,
-    /// Whether a timer for a subscription is set.
-    pub subscribe_pending: bool,
+    /// When the next subscription to discovery is requested.
+    pub subscription_requests: RequestSchedule,
 }
 
 impl SidecarState {
