--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -9,7 +9,7 @@
 //! | 3 | epoll instance of the runtime, its duplicate, and the waker |
 //! | 3 | signals: a socket pair and the runtime's duplicate of one end |
 //! | 1 | configuration file, while it is read on SIGHUP |
-//! | 10 | discovery: calls without a response, the next call, and one being closed |
+//! | 10 | discovery: the watch and calls without an answer, and one connection being closed |
 //! | 3 | spare, for descriptors inherited from the parent process |
 //!
 //! The rest is divided equally between client connections, including those being evicted, and upstream connections.
--- a/src/subscription/call_schedule.rs
+++ b/src/subscription/call_schedule.rs
@@ -8,7 +8,7 @@
 /// be answered within [`UPDATE_DEADLINE`] by a discovery that needs 5.5 s for a call.
 const FIRST_WAIT: [Millis; 2] = [250.0, 400.0];
 /// Range of the waits for further calls while earlier ones are pending: not more than one call a second in the mean.
-const LATER_WAIT: [Millis; 2] = [900.0, 1_300.0];
+const LATER_WAIT: [Millis; 2] = [1_100.0, 1_500.0];
 /// Time within which a change must be applied once discovery has it.
 const UPDATE_DEADLINE: Millis = 6_000.0;
 /// The part of [`UPDATE_DEADLINE`] that is left for reopening a watch and for delays of the process.
