A failed answer is repeated soon, and an outdated one does not end the former watch

Two paths beside the late calls, found by reading. The head of a response holds back further calls for 2.5 s, as its list should follow; if its connection then failed, the wait stayed: a change was applied 2.5 s after the call instead of 0.9 s. And after a reload with a new address, a discovery there that is behind ended the watch of the former one, though its lists are not applied: changes that the former one still told were missed.

--- a/src/subscription/state.rs
+++ b/src/subscription/state.rs
@@ -314,9 +314,10 @@
         }
     }
 
-    /// A connection delivers. If it leads to the current address, it is the watch, and all others are closed.
+    /// A connection delivers. If it leads to the current address and is up to date, it is the watch, and all others are
+    /// closed.
     fn on_delivered(&mut self, id: ConnectionId, now: Millis, out: &mut Vec<Action>) {
-        let address = self.address;
+        let (address, in_force) = (self.address, self.versions.applied());
         let Some(open) = self.connection(id) else { return };
         let began_delivering = std::mem::replace(&mut open.stage, Stage::Delivering) != Stage::Delivering;
         if began_delivering {
@@ -324,7 +325,7 @@
         }
         open.silence_logged = false;
         let answer_time = now - open.opened_at;
-        if open.address != address {
+        if open.address != address || open.version < in_force {
             return;
         }
         if began_delivering {
@@ -366,6 +367,8 @@
     fn on_watch_ended(&mut self, ended: &Connection, reason: &str, now: Millis, out: &mut Vec<Action>) {
         out.push(Action::Log(format!("discovery: {reason}; reconnecting")));
         if self.has_current_connection() {
+            let latest = now + self.schedule.wait_beside_call();
+            self.next_call_at = Some(self.next_call_at.map_or(latest, |at| at.min(latest)));
             return;
         }
         let useful = ended.delivered_news || now - ended.delivering_since >= USEFUL_WATCH_TIME;
@@ -376,20 +379,21 @@
         if !std::mem::replace(&mut self.failure_logged, true) {
             out.push(Action::Log(format!("discovery: {reason}; retrying")));
         }
-        if !self.retry_until_answered {
-            if !self.has_current_connection() {
-                self.next_call_at = None;
-                out.push(Action::ReportUnavailable);
-            }
+        if !self.retry_until_answered && !self.has_current_connection() {
+            self.next_call_at = None;
+            out.push(Action::ReportUnavailable);
+            return;
+        }
+        if self.idle_deadline(now).is_some() {
             return;
         }
         // Calls that fail after a wait keep the pace of pending ones: discovery is slow, and further calls would have to
-        // wait as well.
+        // wait as well. After the head of a response, none has been made meanwhile.
+        let answered = failed.stage > Stage::Calling;
         let refused = now - failed.opened_at < PROMPT_FAILURE_TIME;
-        if refused && self.idle_deadline(now).is_none() {
+        if answered || (refused && self.retry_until_answered) {
             let retry_at = now + self.schedule.wait_after_failure();
-            let keep_earlier = self.has_current_connection();
-            let earlier = self.next_call_at.filter(|_| keep_earlier);
+            let earlier = self.next_call_at.filter(|_| self.has_current_connection());
             self.next_call_at = Some(earlier.map_or(retry_at, |at| at.min(retry_at)));
         }
     }
--- a/tests/subscription.rs
+++ b/tests/subscription.rs
@@ -184,6 +184,26 @@
     });
 }
 
+/// While the head of a response promises a list no calls are made. Guards against waiting on after its connection fails.
+#[test]
+fn call_that_fails_after_the_head_of_its_response_is_repeated_soon() {
+    for pushed in MODES {
+        for failure in [400.0, 1_000.0, 2_400.0] {
+            for seed in 0..SEEDS {
+                let mut world = World::new(pushed, 0.0, seed, move |call, _, _| {
+                    if call == 0 { CallOutcome::AcceptThenFail(failure) } else { CallOutcome::Answer(1.0) }
+                });
+                world.publish_at(0.0);
+                world.run_until(COUNTED_PERIOD);
+                let applied_at = world.applied_at(NEW_VERSION).unwrap_or(f64::INFINITY);
+                // Where lists are requested, the decision module decides when a failed call is repeated.
+                let longest = if pushed { 510.0 } else { 1_510.0 };
+                assert!(applied_at < failure + longest, "pushed {pushed}, seed {seed}: {applied_at} ms");
+            }
+        }
+    }
+}
+
 /// Many lost calls fill all places: calls made once discovery answers are still heard.
 #[test]
 fn slow_answers_are_heard_after_many_lost_calls() {
@@ -344,6 +364,24 @@
     assert!(matches!(actions[..], [Action::Open { from_version: 0, .. }]), "{actions:?}");
 }
 
+/// A new address that is behind does not end the watch of the former one, which may tell of further changes.
+#[test]
+fn former_watch_is_kept_until_the_new_address_is_up_to_date() {
+    let (mut subscription, watch) = delivering_subscription();
+    let mut actions = Vec::new();
+    let update = |version| UpdateInfo { version, is_snapshot: true, has_invalid_entries: false };
+    assert_eq!(subscription.on_update(watch, update(6), 10.0, &mut actions), UpdateVerdict::Apply);
+    subscription.on_reload(address(1), 20.0, &mut actions);
+    let [Action::Open { connection, .. }] = actions[..] else { panic!("{actions:?}") };
+    actions.clear();
+    assert_eq!(subscription.on_update(connection, update(5), 30.0, &mut actions), UpdateVerdict::Ignore);
+    subscription.on_keep_alive(connection, 40.0, &mut actions);
+    assert_eq!(subscription.on_update(watch, update(7), 50.0, &mut actions), UpdateVerdict::Apply);
+    assert!(!actions.contains(&Action::Close(watch)), "{actions:?}");
+    assert_eq!(subscription.on_update(connection, update(7), 60.0, &mut actions), UpdateVerdict::Apply);
+    assert!(actions.contains(&Action::Close(watch)), "{actions:?}");
+}
+
 #[test]
 fn connections_that_were_closed_are_ignored() {
     let (mut subscription, watch) = delivering_subscription();
--- a/tests/subscription_simulation/mod.rs
+++ b/tests/subscription_simulation/mod.rs
@@ -27,6 +27,8 @@
     AnswerFromArrival(Millis),
     /// Sends the head of the response at once, and the list after this time.
     AcceptThenAnswer(Millis),
+    /// Sends the head of the response at once, and fails after this time.
+    AcceptThenFail(Millis),
     /// Never answers.
     Lost,
     /// Refuses the call at once.
@@ -261,6 +263,10 @@
                 self.schedule(now, Step::Accept(connection));
                 self.schedule(now + delay, Step::Answer { connection, version: None });
             }
+            CallOutcome::AcceptThenFail(delay) => {
+                self.schedule(now, Step::Accept(connection));
+                self.schedule(now + delay, Step::Fail(connection));
+            }
             CallOutcome::Lost => {}
             CallOutcome::Refused => self.schedule(now + REFUSAL_TIME, Step::Fail(connection)),
             CallOutcome::FailAfter(delay) => self.schedule(now + delay, Step::Fail(connection)),
