Bench hollow: the fleet uses the real subscription, and a discovery that is slow or crowded

The simulated sidecars called discovery by a model with the constants of a file that no longer exists. They now run the state machine of src/subscription/ on the virtual clock. New scenarios: all watches are reset and calls take 0.2 or 3 s from then on ("slow"), or each node answers 250 calls a second, one after the other, and a call that was given up takes its turn as well ("crowded"). The runs with real processes get the two delays too. tests/hollow.rs has both faults.

The order of versions is not modelled: an update stands for a version of its own.

--- a/benches/hollow/main.rs
+++ b/benches/hollow/main.rs
@@ -43,6 +43,9 @@
     /// In subscribe mode ("asked"), the longest time in milliseconds until the module must subscribe.
     #[arg(long = "must-ask-in", default_value_t = 2_000.0, value_name = "MS")]
     subscribe_within: f64,
+    /// Calls that a discovery node answers in a second in the "crowded" scenarios.
+    #[arg(long = "crowded", default_value_t = 250, value_name = "CALLS_PER_S")]
+    crowded_calls_per_s: u64,
     /// Real sidecar processes.
     #[arg(long = "processes", default_value_t = 300, value_name = "COUNT")]
     process_count: usize,
@@ -63,6 +66,8 @@
     bench: bool,
 }
 
+/// How long discovery takes for a call in the "slow" scenarios, in milliseconds.
+const SLOW_ANSWERS_MS: [u64; 2] = [200, 3_000];
 /// Reports side by side in a printed table.
 const REPORTS_PER_TABLE: usize = 4;
 /// Widths of a table's columns, in characters.
@@ -70,7 +75,8 @@
 const VALUE_WIDTH: usize = 24;
 
 /// All simulated scenarios. In their names, "pushed" and "asked" stand for the push and the subscribe mode of
-/// discovery, "machine" for the loss of a discovery node, "cut" for a partition and "zone" for the outage of a zone.
+/// discovery, "machine" for the loss of a discovery node, "slow" and "crowded" for calls that take long, "cut" for a
+/// partition and "zone" for the outage of a zone.
 fn scenarios(args: &Args) -> Vec<Scenario> {
     let subscribe = DiscoveryMode::Subscribe { subscribe_within: args.subscribe_within };
     let base = Scenario {
@@ -128,6 +134,15 @@
             let separate_versions = Scenario { shared_versions: false, fault, ..base.clone() };
             add(format!("machine {failure_mode}, {mode}, versions apart"), separate_versions);
         }
+        // A discovery that becomes slow as all watches are reset.
+        for delay_ms in SLOW_ANSWERS_MS {
+            let fault = Fault::SlowDiscovery { start_ms: 25_000, delay_ms };
+            let name = format!("slow {} s, {mode}", delay_ms as f64 / 1e3);
+            add(name, Scenario { fault, ..base.clone() });
+        }
+        let calls_per_s = args.crowded_calls_per_s;
+        let fault = Fault::CrowdedDiscovery { start_ms: 25_000, calls_per_s };
+        add(format!("crowded, {mode}"), Scenario { fault, ..base.clone() });
         // A partition of one hour.
         let hour_ms = 3_600_000;
         let fault = Fault::RegionPartition { start_ms: 10_000, end_ms: 10_000 + hour_ms };
--- a/benches/hollow/processes.rs
+++ b/benches/hollow/processes.rs
@@ -52,6 +52,17 @@
     Down,
 }
 
+/// A fault of the discovery stub.
+struct DiscoveryFault<'a> {
+    /// Its name in the report.
+    name: &'a str,
+    mode: StubMode,
+    /// Whether open watches are reset. If not, they fall silent.
+    reset_old_watches: bool,
+    /// How long a call takes from then on.
+    answer_delay: Duration,
+}
+
 /// The state of the discovery stub, to which all its watches react.
 #[derive(Debug, Clone)]
 struct StubState {
@@ -60,6 +71,8 @@
     generation: u64,
     /// Whether watches of earlier generations are reset. If not, they fall silent.
     reset_old_watches: bool,
+    /// How long a call takes.
+    answer_delay: Duration,
     /// The version of the host list.
     seq: u64,
     /// The latest change as a JSON line.
@@ -145,6 +158,10 @@
         // Calls that arrive while discovery is down are answered when it is back.
         let mut current =
             state.wait_for(|state| state.mode != StubMode::Down).await.map_err(io::Error::other)?.clone();
+        if !current.answer_delay.is_zero() {
+            sleep(current.answer_delay).await;
+            current = state.borrow_and_update().clone();
+        }
         let generation = current.generation;
         writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
         let mut sent_seq = from_seq;
@@ -406,14 +423,8 @@
     }
 
     /// Injects a fault into the discovery stub, publishes a change during it and reports the propagation of the change.
-    /// Watches that are open are reset by the fault or, without `reset_old_watches`, fall silent.
-    async fn measure_fault(
-        &mut self,
-        name: &str,
-        report: &mut Report,
-        mode: StubMode,
-        reset_old_watches: bool,
-    ) -> io::Result<()> {
+    async fn measure_fault(&mut self, fault: DiscoveryFault<'_>, report: &mut Report) -> io::Result<()> {
+        let DiscoveryFault { name, mode, reset_old_watches, answer_delay } = fault;
         // Inject the fault and publish a change that open watches do not deliver.
         let connected = self.open_connections().await?;
         let (snapshots_before, deltas_before, bytes_before) = {
@@ -424,6 +435,7 @@
         self.state.send_modify(|state| {
             state.generation += 1;
             (state.mode, state.reset_old_watches) = (mode, reset_old_watches);
+            state.answer_delay = answer_delay;
         });
         let (mut outage_ended_at, mut published_at) = (fault_at, self.swap_local_servers());
         // An outage ends after a while; propagation is then counted from its end.
@@ -447,6 +459,7 @@
             calls
         };
         report.add_value(&format!("{name}: connected before"), connected as f64);
+        report.add_value(&format!("{name}: sidecars in force"), delays.len() as f64);
         report.add_binned_counts(&format!("{name}: calls"), &calls_since(fault_at));
         if mode == StubMode::Down {
             report
@@ -491,6 +504,7 @@
         mode: StubMode::Serving,
         generation: 0,
         reset_old_watches: false,
+        answer_delay: Duration::ZERO,
         seq: 4,
         latest_delta: empty.clone(),
         snapshot: empty,
@@ -565,11 +579,19 @@
 
     // Keep-alive lines are in phase with the start of each watch. The first silence meets watches whose starts are
     // spread out; the one after the reset meets watches that reopened almost together.
-    fleet.measure_fault("all watches silent", &mut report, StubMode::OldWatchesSilent, false).await?;
-    fleet.measure_fault("all watches reset", &mut report, StubMode::Serving, true).await?;
-    fleet.measure_fault("silent after the reset", &mut report, StubMode::OldWatchesSilent, false).await?;
-    fleet.measure_fault("reset and down for 5 s", &mut report, StubMode::Down, true).await?;
-    fleet.measure_fault("silent and down for 5 s", &mut report, StubMode::Down, false).await?;
+    let faults = [
+        ("all watches silent", StubMode::OldWatchesSilent, false, Duration::ZERO),
+        ("all watches reset", StubMode::Serving, true, Duration::ZERO),
+        ("silent after the reset", StubMode::OldWatchesSilent, false, Duration::ZERO),
+        ("reset and down for 5 s", StubMode::Down, true, Duration::ZERO),
+        ("silent and down for 5 s", StubMode::Down, false, Duration::ZERO),
+        ("reset, 0.2 s a call", StubMode::Serving, true, Duration::from_millis(200)),
+        ("reset, 3 s a call", StubMode::Serving, true, Duration::from_secs(3)),
+    ];
+    for (name, mode, reset_old_watches, answer_delay) in faults {
+        let fault = DiscoveryFault { name, mode, reset_old_watches, answer_delay };
+        fleet.measure_fault(fault, &mut report).await?;
+    }
     let max_resident_kib = fleet.sidecars.iter().map(Sidecar::resident_kib).max().unwrap_or(0);
     report.add_value("resident memory, most, KiB", max_resident_kib as f64);
     let exited =
--- a/benches/hollow/simulation.rs
+++ b/benches/hollow/simulation.rs
@@ -4,31 +4,22 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
 
 use oorandom::Rand64;
 use sagemast::Balancer;
 use sagemast::api::*;
 use sagemast::settings::ring_position;
+use sagemast::subscription::{
+    Action as SubscriptionAction, ConnectionId, Subscription, SubscriptionSettings, UpdateInfo,
+    UpdateVerdict, WATCH_IDLE_TIMEOUT,
+};
 
 use crate::report::{BinnedCounts, Distribution, Report};
 
 /// Virtual time or a duration, in microseconds. Time 0 is the start of the simulation.
 type Micros = u64;
 
-// The discovery client is modelled with the timing and the constants of `src/net/discovery.rs`.
-
-/// A watch on which neither a keep-alive line nor an update arrives for this long is considered dead.
-const WATCH_IDLE_TIMEOUT_US: Micros = 2_500_000;
-/// A call to discovery that the module requested fails after this time without a response.
-const CALL_TIMEOUT_US: Micros = 2_500_000;
-/// The longest wait after a watch that delivered updates. It doubles, up to the backoff cap, for each further watch
-/// that delivers none.
-const INITIAL_BACKOFF_US: Micros = 50_000;
-/// The backoff cap as a fraction of the drain grace period, before it is limited to the bounds below.
-const BACKOFF_CAP_PER_DRAIN_GRACE: f64 = 0.25;
-const MIN_BACKOFF_CAP_US: f64 = 50_000.0;
-const MAX_BACKOFF_CAP_US: f64 = 500_000.0;
-
 /// Interval of the keep-alive lines on an open watch.
 const KEEPALIVE_INTERVAL_US: Micros = 2_000_000;
 /// Size of a keep-alive line with its chunk framing.
@@ -111,6 +102,11 @@
     DiscoveryNodeLoss { start_ms: u64, silent: bool },
     /// The first region is partitioned from the others.
     RegionPartition { start_ms: u64, end_ms: u64 },
+    /// All watches are reset, and from then on a call is answered only after `delay_ms`.
+    SlowDiscovery { start_ms: u64, delay_ms: u64 },
+    /// All watches are reset, and from then on each node answers one call after the other, `calls_per_s` in a second.
+    /// A call that was given up takes its turn as well.
+    CrowdedDiscovery { start_ms: u64, calls_per_s: u64 },
 }
 
 /// The parameters of a simulation.
@@ -169,7 +165,9 @@
         match self.fault {
             Fault::None => 0,
             Fault::ZoneOutage { end_ms, .. } => end_ms,
-            Fault::DiscoveryNodeLoss { start_ms, .. } => start_ms,
+            Fault::DiscoveryNodeLoss { start_ms, .. }
+            | Fault::SlowDiscovery { start_ms, .. }
+            | Fault::CrowdedDiscovery { start_ms, .. } => start_ms,
             Fault::RegionPartition { end_ms, .. } => end_ms,
         }
     }
@@ -182,12 +180,11 @@
     AttemptEnd { request: u64, attempt: u32, outcome: Outcome, server_incarnation: u32 },
     ClientDeadline(u64),
     TimerExpiry { sidecar: usize, incarnation: u32, token: u64 },
-    DiscoveryCall { sidecar: usize, watch_id: u32 },
-    DiscoveryCallFailed { sidecar: usize, watch_id: u32 },
-    WatchOpened { sidecar: usize, watch_id: u32, node: usize },
-    UpdateReceived { sidecar: usize, watch_id: u32, log_position: usize, update: ListUpdate },
-    WatchReset { sidecar: usize, watch_id: u32 },
-    WatchIdleTimeout { sidecar: usize, watch_id: u32 },
+    SubscriptionWakeup { sidecar: usize, incarnation: u32 },
+    ConnectionFailed { watch: WatchKey },
+    WatchOpened { watch: WatchKey, node: usize },
+    UpdateReceived { watch: WatchKey, log_position: usize, update: ListUpdate },
+    WatchReset { watch: WatchKey },
     ChangesReachNode { node: usize, changes: Vec<u32> },
     HealthChange { server: usize, health: Health },
     DrainRandomServer,
@@ -195,9 +192,18 @@
     ServerStart(usize),
     SidecarRestart(usize),
     DiscoveryNodeFailure,
+    ResetAllWatches,
     SetPartition(bool),
 }
 
+/// Identifies a connection to discovery over all sidecars and their restarts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct WatchKey {
+    sidecar: usize,
+    incarnation: u32,
+    connection: ConnectionId,
+}
+
 /// An entry of the event queue, ordered by time and then by id, which is the order of scheduling.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct ScheduledEvent {
@@ -267,6 +273,8 @@
     failed_at: Option<Micros>,
     /// The time at which all updates queued so far are sent.
     egress_free_at: Micros,
+    /// The time at which all calls queued so far are answered, while discovery is crowded.
+    calls_answered_at: Micros,
     /// The changes that it knows, as indices into [`Simulation::changes`], in the order in which it received them.
     change_log: Vec<u32>,
     /// The health of each server as this node knows it.
@@ -282,21 +290,17 @@
     zone: usize,
     /// The services that it calls and whose servers it lists.
     services: Vec<usize>,
-    /// Identifies the current watch; events of earlier watches are ignored.
-    watch_id: u32,
-    watch_open: bool,
-    /// The discovery node of the current or the last watch.
+    subscription: Subscription,
+    /// When the subscription is woken up next.
+    wakeup_at: Option<Micros>,
+    /// The connections that the subscription has opened.
+    watches: BTreeMap<ConnectionId, Watch>,
+    /// The discovery node whose updates were received last.
     node: usize,
     /// The position in the node's change log up to which the sidecar has received updates.
     log_position: usize,
-    /// Whether the current watch has delivered an update.
-    updated_since_open: bool,
-    /// The longest wait before the next call to discovery.
-    backoff: Micros,
-    /// The time of its keep-alive lines modulo their interval.
-    keepalive_phase: Micros,
-    /// When the watch was opened or last delivered an update.
-    last_update_at: Micros,
+    /// The number of updates received, which stands for the version: the order of versions is not modelled.
+    updates_received: u64,
     /// Changes that the module has received since the start of the sidecar.
     applied_changes: BTreeSet<u32>,
     /// Changes whose propagation delay has been recorded; kept across restarts.
@@ -305,6 +309,24 @@
     draining_since: BTreeMap<u64, Micros>,
 }
 
+/// A connection to discovery.
+struct Watch {
+    /// The node that serves it, once it is open.
+    node: Option<usize>,
+    /// Whether its node has failed without closing it.
+    silent: bool,
+    /// The time of its keep-alive lines modulo their interval.
+    keepalive_phase: Micros,
+    /// When it was opened or last delivered an update.
+    last_update_at: Micros,
+}
+
+impl Watch {
+    fn is_served(&self) -> bool {
+        self.node.is_some() && !self.silent
+    }
+}
+
 struct PendingRequest {
     sidecar: usize,
     sidecar_incarnation: u32,
@@ -321,7 +343,7 @@
 
 /// How a call to discovery fails.
 struct CallFailure {
-    /// The call hangs until its timeout instead of failing at once.
+    /// The call is never answered instead of failing at once.
     hangs: bool,
 }
 
@@ -442,14 +464,12 @@
                     running: true,
                     zone,
                     services: services.into_iter().collect(),
-                    watch_id: 0,
-                    watch_open: matches!(scenario.discovery, DiscoveryMode::Push),
+                    subscription: new_subscription(&scenario, sidecar_index, 0),
+                    wakeup_at: None,
+                    watches: BTreeMap::new(),
                     node: zone * scenario.regions / scenario.zones,
                     log_position: 0,
-                    updated_since_open: false,
-                    backoff: INITIAL_BACKOFF_US,
-                    keepalive_phase: rng.rand_range(0..KEEPALIVE_INTERVAL_US),
-                    last_update_at: 0,
+                    updates_received: 0,
                     applied_changes: BTreeSet::new(),
                     recorded_changes: BTreeSet::new(),
                     draining_since: BTreeMap::new(),
@@ -460,6 +480,7 @@
             .map(|_| DiscoveryNode {
                 failed_at: None,
                 egress_free_at: 0,
+                calls_answered_at: 0,
                 change_log: Vec::new(),
                 health: vec![Health::Ready { started_at: None }; scenario.servers],
             })
@@ -493,6 +514,7 @@
         simulation.schedule_scenario();
         for sidecar in 0..simulation.sidecars.len() {
             simulation.restore_list(sidecar);
+            simulation.schedule_wakeup(sidecar);
         }
         simulation
     }
@@ -560,6 +582,9 @@
             Fault::DiscoveryNodeLoss { start_ms, .. } => {
                 self.schedule_at(start_ms * 1_000, SimulationEvent::DiscoveryNodeFailure);
             }
+            Fault::SlowDiscovery { start_ms, .. } | Fault::CrowdedDiscovery { start_ms, .. } => {
+                self.schedule_at(start_ms * 1_000, SimulationEvent::ResetAllWatches);
+            }
             Fault::RegionPartition { start_ms, end_ms } => {
                 self.schedule_at(start_ms * 1_000, SimulationEvent::SetPartition(true));
                 self.schedule_at(end_ms * 1_000, SimulationEvent::SetPartition(false));
@@ -579,45 +604,26 @@
             {
                 self.deliver(sidecar, Event::TimerFired(token));
             }
-            SimulationEvent::DiscoveryCall { sidecar, watch_id } if self.is_current(sidecar, watch_id) => {
-                self.call_discovery(sidecar);
+            SimulationEvent::SubscriptionWakeup { sidecar, incarnation } => {
+                self.wake_subscription(sidecar, incarnation);
             }
-            SimulationEvent::DiscoveryCallFailed { sidecar, watch_id }
-            | SimulationEvent::WatchReset { sidecar, watch_id }
-                if self.is_current(sidecar, watch_id) =>
+            SimulationEvent::ConnectionFailed { watch } | SimulationEvent::WatchReset { watch }
+                if self.is_open(watch) =>
             {
-                self.handle_watch_end(sidecar);
+                self.end_watch(watch);
             }
-            SimulationEvent::WatchOpened { sidecar, watch_id, node }
-                if self.is_current(sidecar, watch_id) =>
-            {
-                self.open_watch(sidecar, node);
-            }
-            SimulationEvent::UpdateReceived { sidecar, watch_id, log_position, update }
-                if self.is_current(sidecar, watch_id) =>
-            {
-                self.sidecars[sidecar].log_position = log_position;
-                self.apply_update(sidecar, update);
+            SimulationEvent::WatchOpened { watch, node } if self.is_open(watch) => {
+                self.open_watch(watch, node);
             }
-            SimulationEvent::WatchIdleTimeout { sidecar, watch_id } if self.is_current(sidecar, watch_id) => {
-                self.sidecars[sidecar].watch_open = false;
-                self.sidecars[sidecar].watch_id += 1;
-                // In push mode the sidecar backs off before it reopens a watch; a watch that the module requested
-                // is reopened at once.
-                if self.is_push_mode() {
-                    self.schedule_retry(sidecar, true)
-                } else {
-                    self.call_discovery(sidecar)
-                }
+            SimulationEvent::UpdateReceived { watch, log_position, update } if self.is_open(watch) => {
+                self.receive_update(watch, log_position, update);
             }
-            // Events of an earlier watch or an earlier incarnation of the sidecar.
+            // Events of a connection that was closed or of an earlier incarnation of the sidecar.
             SimulationEvent::TimerExpiry { .. }
-            | SimulationEvent::DiscoveryCall { .. }
-            | SimulationEvent::DiscoveryCallFailed { .. }
+            | SimulationEvent::ConnectionFailed { .. }
             | SimulationEvent::WatchReset { .. }
             | SimulationEvent::WatchOpened { .. }
-            | SimulationEvent::UpdateReceived { .. }
-            | SimulationEvent::WatchIdleTimeout { .. } => {}
+            | SimulationEvent::UpdateReceived { .. } => {}
             SimulationEvent::ChangesReachNode { node, changes } => self.apply_at_node(node, changes),
             SimulationEvent::HealthChange { server, health } => self.change_health(server, health),
             SimulationEvent::DrainRandomServer => self.drain_random_server(),
@@ -625,25 +631,25 @@
             SimulationEvent::ServerStart(server) => self.start_server(server),
             SimulationEvent::SidecarRestart(sidecar) => {
                 let (incarnation, zone) = (self.sidecars[sidecar].incarnation, self.sidecars[sidecar].zone);
+                let now_ms = self.now as f64 / 1e3;
                 self.sidecars[sidecar].balancer = new_balancer(&self.scenario, sidecar, zone, incarnation);
+                self.sidecars[sidecar].subscription = new_subscription(&self.scenario, sidecar, incarnation);
                 self.sidecars[sidecar].running = true;
                 self.restore_list(sidecar);
-                if self.is_push_mode() {
-                    self.call_discovery(sidecar);
-                }
+                self.drive_subscription(sidecar, |subscription, out| subscription.on_wakeup(now_ms, out));
             }
             SimulationEvent::DiscoveryNodeFailure => self.fail_first_node(),
+            SimulationEvent::ResetAllWatches => self.reset_all_watches(),
             SimulationEvent::SetPartition(partitioned) => self.set_partition(partitioned),
         }
     }
 
-    fn is_push_mode(&self) -> bool {
-        self.scenario.discovery == DiscoveryMode::Push
-    }
-
-    /// Whether an event of a watch still applies: the sidecar runs and has not ended that watch.
-    fn is_current(&self, sidecar: usize, watch_id: u32) -> bool {
-        self.sidecars[sidecar].running && self.sidecars[sidecar].watch_id == watch_id
+    /// Whether a connection is open: its sidecar runs and has not closed it.
+    fn is_open(&self, watch: WatchKey) -> bool {
+        let sidecar = &self.sidecars[watch.sidecar];
+        sidecar.running
+            && sidecar.incarnation == watch.incarnation
+            && sidecar.watches.contains_key(&watch.connection)
     }
 
     // --- Decision modules ----------------------------------------------------------------------
@@ -696,9 +702,8 @@
                 );
             }
             Action::Subscribe => {
-                self.sidecars[sidecar].watch_id += 1;
-                self.sidecars[sidecar].watch_open = false;
-                self.call_discovery(sidecar);
+                let now_ms = self.now as f64 / 1e3;
+                self.drive_subscription(sidecar, |subscription, out| subscription.on_requested(now_ms, out));
             }
             Action::Log(_) => {}
         }
@@ -1061,43 +1066,69 @@
         }
         for sidecar in self.sidecars.iter_mut().filter(|sidecar| sidecar.zone == 0) {
             sidecar.running = false;
-            sidecar.watch_open = false;
+            sidecar.watches.clear();
+            sidecar.wakeup_at = None;
             sidecar.incarnation += 1;
-            sidecar.watch_id += 1;
             // After its restart it counts as having received no changes.
             sidecar.applied_changes.clear();
             sidecar.draining_since.clear();
             sidecar.log_position = 0;
-            sidecar.backoff = INITIAL_BACKOFF_US;
+            sidecar.updates_received = 0;
         }
     }
 
-    /// Stops the first discovery node and schedules when the sidecars that watch it notice.
+    /// The open watches that a node serves.
+    fn watches_of(&self, node: usize) -> Vec<WatchKey> {
+        let keys = self.sidecars.iter().enumerate().filter(|(_, sidecar)| sidecar.running).flat_map(
+            |(index, sidecar)| {
+                let served =
+                    sidecar.watches.iter().filter(|(_, watch)| watch.node == Some(node) && !watch.silent);
+                served.map(move |(connection, _)| WatchKey {
+                    sidecar: index,
+                    incarnation: sidecar.incarnation,
+                    connection: *connection,
+                })
+            },
+        );
+        keys.collect()
+    }
+
+    /// Stops the first discovery node; its watches are reset or fall silent.
     fn fail_first_node(&mut self) {
         self.nodes[0].failed_at = Some(self.now);
         let silent = matches!(self.scenario.fault, Fault::DiscoveryNodeLoss { silent: true, .. });
-        for sidecar in 0..self.sidecars.len() {
-            let watcher = &self.sidecars[sidecar];
-            if watcher.node != 0 || !watcher.watch_open {
-                continue;
-            }
-            let watch_id = watcher.watch_id;
+        for watch in self.watches_of(0) {
             if silent {
-                let since_keepalive =
-                    (self.now + KEEPALIVE_INTERVAL_US - watcher.keepalive_phase) % KEEPALIVE_INTERVAL_US;
-                let last_keepalive_at = self.now - since_keepalive;
-                let timeout_at = last_keepalive_at.max(watcher.last_update_at) + WATCH_IDLE_TIMEOUT_US;
-                self.schedule_at(
-                    timeout_at.max(self.now),
-                    SimulationEvent::WatchIdleTimeout { sidecar, watch_id },
-                );
+                self.silence_watch(watch);
             } else {
-                let delay = self.draw_uniform(MIN_WATCH_RESET_US, MAX_WATCH_RESET_US);
-                self.schedule_after(delay, SimulationEvent::WatchReset { sidecar, watch_id });
+                self.schedule_reset(watch);
             }
         }
     }
 
+    fn reset_all_watches(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.watches_of(node).into_iter().for_each(|watch| self.schedule_reset(watch));
+        }
+    }
+
+    fn schedule_reset(&mut self, watch: WatchKey) {
+        let delay = self.draw_uniform(MIN_WATCH_RESET_US, MAX_WATCH_RESET_US);
+        self.schedule_after(delay, SimulationEvent::WatchReset { watch });
+    }
+
+    /// A watch falls silent. Keep-alive lines are not simulated one by one: the last one is delivered now.
+    fn silence_watch(&mut self, key: WatchKey) {
+        let now = self.now;
+        let Some(watch) = self.sidecars[key.sidecar].watches.get_mut(&key.connection) else { return };
+        watch.silent = true;
+        let since_keepalive = (now + KEEPALIVE_INTERVAL_US - watch.keepalive_phase) % KEEPALIVE_INTERVAL_US;
+        let last_progress_ms = watch.last_update_at.max(now - since_keepalive) as f64 / 1e3;
+        self.drive_subscription(key.sidecar, |subscription, out| {
+            subscription.on_keep_alive(key.connection, last_progress_ms, out)
+        });
+    }
+
     /// Starts or ends the partition; at its end the withheld changes are replicated.
     fn set_partition(&mut self, partitioned: bool) {
         self.partitioned = partitioned;
@@ -1129,20 +1160,25 @@
         let watchers: Vec<usize> = listing_sidecars
             .into_iter()
             .map(|sidecar| sidecar as usize)
-            .filter(|s| {
-                self.sidecars[*s].running && self.sidecars[*s].watch_open && self.sidecars[*s].node == node
-            })
+            .filter(|sidecar| self.sidecars[*sidecar].running)
             .collect();
         for sidecar in watchers {
-            // A node that was sent more changes at once than its history holds cannot send them as a delta.
-            let exceeds_history = changes.len() > self.scenario.delta_history;
-            self.send_update(sidecar, node, if exceeds_history { None } else { Some(previous_log_length) });
+            let watches = self.sidecars[sidecar].watches.iter();
+            let served = watches.filter(|(_, watch)| watch.is_served() && watch.node == Some(node));
+            let connections: Vec<ConnectionId> = served.map(|(connection, _)| *connection).collect();
+            for connection in connections {
+                // A node that was sent more changes at once than its history holds cannot send them as a delta.
+                let exceeds_history = changes.len() > self.scenario.delta_history;
+                let from_log_position = (!exceeds_history).then_some(previous_log_length);
+                self.send_update(self.watch_key(sidecar, connection), node, from_log_position);
+            }
         }
     }
 
     /// Sends an update on a watch: the changes from a position in the node's change log on, or a snapshot if the
     /// position is `None`.
-    fn send_update(&mut self, sidecar: usize, node: usize, from_log_position: Option<usize>) {
+    fn send_update(&mut self, watch: WatchKey, node: usize, from_log_position: Option<usize>) {
+        let sidecar = watch.sidecar;
         // Collect the content of the update and the servers that it names.
         let services: BTreeSet<usize> = self.sidecars[sidecar].services.iter().copied().collect();
         let change_log = &self.nodes[node].change_log;
@@ -1185,26 +1221,34 @@
         let written_at = *egress_free_at;
         self.update_bytes.add(written_at, bytes);
         let received_at = written_at + self.draw_uniform(MIN_UPDATE_DELIVERY_US, MAX_UPDATE_DELIVERY_US);
-        let watch_id = self.sidecars[sidecar].watch_id;
-        if received_at > self.now + WATCH_IDLE_TIMEOUT_US {
-            // An update that is not complete within the idle timeout breaks the watch and is lost.
-            self.sidecars[sidecar].log_position = 0;
-            self.schedule_after(
-                WATCH_IDLE_TIMEOUT_US,
-                SimulationEvent::WatchIdleTimeout { sidecar, watch_id },
-            );
-        } else {
-            self.schedule_at(
-                received_at,
-                SimulationEvent::UpdateReceived { sidecar, watch_id, log_position, update },
-            );
+        self.schedule_at(received_at, SimulationEvent::UpdateReceived { watch, log_position, update });
+    }
+
+    /// Hands a received update to the subscription, and to the module if it is to be applied.
+    fn receive_update(&mut self, key: WatchKey, log_position: usize, update: ListUpdate) {
+        let now = self.now;
+        let sidecar = &mut self.sidecars[key.sidecar];
+        let Some(watch) = sidecar.watches.get_mut(&key.connection) else { return };
+        watch.last_update_at = now;
+        sidecar.updates_received += 1;
+        sidecar.log_position = log_position;
+        sidecar.node = watch.node.unwrap_or(sidecar.node);
+        let info = UpdateInfo {
+            version: sidecar.updates_received,
+            is_snapshot: matches!(update, ListUpdate::Snapshot { .. }),
+            has_invalid_entries: false,
+        };
+        let mut verdict = UpdateVerdict::Ignore;
+        self.drive_subscription(key.sidecar, |subscription, out| {
+            verdict = subscription.on_update(key.connection, info, now as f64 / 1e3, out);
+        });
+        if verdict == UpdateVerdict::Apply {
+            self.apply_update(key.sidecar, update);
         }
     }
 
     /// Passes a received update to the module and records the propagation delay of its changes.
     fn apply_update(&mut self, sidecar: usize, update: ListUpdate) {
-        self.sidecars[sidecar].updated_since_open = true;
-        self.sidecars[sidecar].last_update_at = self.now;
         // Convert the update to the module's types; a delta holds only the latest change of each server.
         let (discovery_update, applied) = match update {
             ListUpdate::Delta { changes } => {
@@ -1267,46 +1311,118 @@
         }
     }
 
-    /// Calls discovery to open a watch. Schedules the outcome of the call or, if it fails, the next call.
-    fn call_discovery(&mut self, sidecar: usize) {
+    /// Passes an input to the subscription of a sidecar and carries out the resulting actions.
+    fn drive_subscription(
+        &mut self,
+        sidecar: usize,
+        input: impl FnOnce(&mut Subscription, &mut Vec<SubscriptionAction>),
+    ) {
+        let mut actions = Vec::new();
+        input(&mut self.sidecars[sidecar].subscription, &mut actions);
+        for action in actions {
+            match action {
+                SubscriptionAction::Open { connection, .. } => self.call_discovery(sidecar, connection),
+                SubscriptionAction::Close(connection) => {
+                    self.sidecars[sidecar].watches.remove(&connection);
+                }
+                SubscriptionAction::ReportUnavailable => {
+                    self.deliver(sidecar, Event::DiscoveryUpdated(DiscoveryUpdate::Unavailable));
+                }
+                SubscriptionAction::Log(_) => {}
+            }
+        }
+        self.schedule_wakeup(sidecar);
+    }
+
+    /// Schedules the next wake-up of a subscription. None is needed while a watch is served: its keep-alive lines are
+    /// not simulated.
+    fn schedule_wakeup(&mut self, sidecar: usize) {
+        let state = &self.sidecars[sidecar];
+        if state.watches.values().any(Watch::is_served) {
+            return;
+        }
+        let Some(at_ms) = state.subscription.next_wakeup() else { return };
+        let at = ((at_ms * 1e3).ceil() as Micros).max(self.now);
+        if state.wakeup_at.is_some_and(|scheduled| scheduled <= at && scheduled >= self.now) {
+            return;
+        }
+        let incarnation = state.incarnation;
+        self.sidecars[sidecar].wakeup_at = Some(at);
+        self.schedule_at(at, SimulationEvent::SubscriptionWakeup { sidecar, incarnation });
+    }
+
+    fn wake_subscription(&mut self, sidecar: usize, incarnation: u32) {
+        let state = &mut self.sidecars[sidecar];
+        if !state.running || state.incarnation != incarnation || state.wakeup_at != Some(self.now) {
+            return;
+        }
+        state.wakeup_at = None;
+        if state.watches.values().any(Watch::is_served) {
+            return;
+        }
+        let now_ms = self.now as f64 / 1e3;
+        self.drive_subscription(sidecar, |subscription, out| subscription.on_wakeup(now_ms, out));
+    }
+
+    fn watch_key(&self, sidecar: usize, connection: ConnectionId) -> WatchKey {
+        WatchKey { sidecar, incarnation: self.sidecars[sidecar].incarnation, connection }
+    }
+
+    /// Calls discovery to open a watch and schedules the outcome of the call.
+    fn call_discovery(&mut self, sidecar: usize, connection: ConnectionId) {
         self.discovery_calls.add(self.now, 1);
-        let watch_id = self.sidecars[sidecar].watch_id;
-        // Otherwise the module learns that the call failed and decides when to call again.
-        let retries_until_answered = self.is_push_mode() || self.sidecars[sidecar].updated_since_open;
+        let watch = self.watch_key(sidecar, connection);
+        let pending = Watch { node: None, silent: false, keepalive_phase: 0, last_update_at: self.now };
+        self.sidecars[sidecar].watches.insert(connection, pending);
         match self.node_for(sidecar) {
             Ok(node) => {
-                let delay = self.draw_uniform(MIN_WATCH_OPEN_US, MAX_WATCH_OPEN_US);
-                self.schedule_after(delay, SimulationEvent::WatchOpened { sidecar, watch_id, node });
+                let network_delay = self.draw_uniform(MIN_WATCH_OPEN_US, MAX_WATCH_OPEN_US);
+                let answered_at = self.answer_time(node) + network_delay;
+                self.schedule_at(answered_at, SimulationEvent::WatchOpened { watch, node });
             }
-            Err(_) if retries_until_answered => {
-                let backoff_cap_us = (self.scenario.drain_grace_ms * 1e3 * BACKOFF_CAP_PER_DRAIN_GRACE)
-                    .clamp(MIN_BACKOFF_CAP_US, MAX_BACKOFF_CAP_US);
-                let delay = self.draw_uniform(0.0, backoff_cap_us);
-                self.schedule_after(delay, SimulationEvent::DiscoveryCall { sidecar, watch_id });
+            Err(CallFailure { hangs: true }) => {}
+            Err(CallFailure { hangs: false }) => {
+                self.schedule_after(CALL_REFUSAL_US, SimulationEvent::ConnectionFailed { watch });
             }
-            Err(CallFailure { hangs }) => self.schedule_after(
-                if hangs { CALL_TIMEOUT_US } else { CALL_REFUSAL_US },
-                SimulationEvent::DiscoveryCallFailed { sidecar, watch_id },
-            ),
+        }
+    }
+
+    /// When a node answers a call that it gets now.
+    fn answer_time(&mut self, node: usize) -> Micros {
+        match self.scenario.fault {
+            Fault::SlowDiscovery { start_ms, delay_ms } if self.now >= start_ms * 1_000 => {
+                self.now + delay_ms * 1_000
+            }
+            Fault::CrowdedDiscovery { start_ms, calls_per_s } if self.now >= start_ms * 1_000 => {
+                let answered_at = &mut self.nodes[node].calls_answered_at;
+                *answered_at = (*answered_at).max(self.now) + 1_000_000 / calls_per_s.max(1);
+                *answered_at
+            }
+            _ => self.now,
         }
     }
 
     /// Opens a watch: the node sends the changes that the sidecar has missed, or a snapshot if it cannot determine
     /// them.
-    fn open_watch(&mut self, sidecar: usize, node: usize) {
+    fn open_watch(&mut self, key: WatchKey, node: usize) {
         if self.nodes[node].failed_at.is_some() {
-            return self.handle_watch_end(sidecar);
+            return self.end_watch(key);
         }
-        let moved = self.sidecars[sidecar].node != node;
-        let watcher = &mut self.sidecars[sidecar];
-        watcher.watch_open = true;
-        watcher.node = node;
-        watcher.updated_since_open = false;
-        watcher.keepalive_phase = self.now % KEEPALIVE_INTERVAL_US;
-        watcher.last_update_at = self.now;
+        let (sidecar, now) = (key.sidecar, self.now);
+        self.drive_subscription(sidecar, |subscription, _| {
+            subscription.on_accepted(key.connection, now as f64 / 1e3)
+        });
+        let opened = Watch {
+            node: Some(node),
+            silent: false,
+            keepalive_phase: now % KEEPALIVE_INTERVAL_US,
+            last_update_at: now,
+        };
+        self.sidecars[sidecar].watches.insert(key.connection, opened);
         // After a move to another node, the first change in its log that the sidecar has not yet received.
-        let change_log = &self.nodes[node].change_log;
         let watcher = &self.sidecars[sidecar];
+        let moved = watcher.node != node;
+        let change_log = &self.nodes[node].change_log;
         let from_log_position = if moved {
             let services: BTreeSet<usize> = watcher.services.iter().copied().collect();
             let first_missed = change_log.iter().position(|id| {
@@ -1319,35 +1435,16 @@
         };
         let needs_snapshot = change_log.len() - from_log_position > self.scenario.delta_history
             || (moved && !self.scenario.shared_versions);
-        self.send_update(sidecar, node, (!needs_snapshot).then_some(from_log_position));
+        self.send_update(key, node, (!needs_snapshot).then_some(from_log_position));
     }
 
-    /// Handles a watch that was reset or could not be opened.
-    fn handle_watch_end(&mut self, sidecar: usize) {
-        self.sidecars[sidecar].watch_open = false;
-        self.sidecars[sidecar].watch_id += 1;
-        if self.is_push_mode() {
-            self.schedule_retry(sidecar, false);
-        } else {
-            self.sidecars[sidecar].updated_since_open = false;
-            self.deliver(sidecar, Event::DiscoveryUpdated(DiscoveryUpdate::Unavailable));
-        }
-    }
-
-    /// Schedules the next call after an exponential backoff with full jitter. An idle timeout was itself a long wait,
-    /// so the backoff starts again from its initial value.
-    fn schedule_retry(&mut self, sidecar: usize, after_idle_timeout: bool) {
-        let backoff_cap = (self.scenario.drain_grace_ms * 1e3 * BACKOFF_CAP_PER_DRAIN_GRACE)
-            .clamp(MIN_BACKOFF_CAP_US, MAX_BACKOFF_CAP_US) as Micros;
-        let watcher = &mut self.sidecars[sidecar];
-        watcher.backoff = if watcher.updated_since_open || after_idle_timeout {
-            INITIAL_BACKOFF_US
-        } else {
-            (2 * watcher.backoff).min(backoff_cap)
-        };
-        let (backoff, watch_id) = (watcher.backoff, watcher.watch_id);
-        let delay = self.draw_uniform(0.0, backoff as f64);
-        self.schedule_after(delay, SimulationEvent::DiscoveryCall { sidecar, watch_id });
+    /// A connection has failed or a watch was reset.
+    fn end_watch(&mut self, key: WatchKey) {
+        let now_ms = self.now as f64 / 1e3;
+        self.sidecars[key.sidecar].watches.remove(&key.connection);
+        self.drive_subscription(key.sidecar, |subscription, out| {
+            subscription.on_ended(key.connection, "reset", false, now_ms, out)
+        });
     }
 
     // --- Report --------------------------------------------------------------------------------
@@ -1373,7 +1470,7 @@
                         .max(change.last_applied_at.saturating_sub(self.observation_start));
                 }
                 fleet_delays.record(change.last_applied_at - change.at);
-                if change.at + WATCH_IDLE_TIMEOUT_US >= self.observation_start
+                if change.at as f64 / 1e3 + WATCH_IDLE_TIMEOUT >= self.observation_start as f64 / 1e3
                     && change.at < self.observation_start + NEAR_FAULT_PERIOD_US
                 {
                     fleet_delays_near_fault.record(change.last_applied_at - change.at);
@@ -1461,7 +1558,24 @@
         .min(1.0)
 }
 
-/// Creates the module of a sidecar. Its seed differs for each sidecar and each restart.
+/// Creates the subscription of a sidecar that starts at this time.
+fn new_subscription(scenario: &Scenario, sidecar_index: usize, incarnation: u32) -> Subscription {
+    let settings = SubscriptionSettings {
+        pushed: scenario.discovery == DiscoveryMode::Push,
+        drain_grace: scenario.drain_grace_ms,
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Subscription::new(settings, address, 0, sidecar_seed(scenario, sidecar_index, incarnation))
+}
+
+/// The seed of a sidecar, which differs for each sidecar and each restart.
+fn sidecar_seed(scenario: &Scenario, sidecar_index: usize, incarnation: u32) -> u64 {
+    scenario.seed
+        ^ (sidecar_index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        ^ u64::from(incarnation) << 48
+}
+
+/// Creates the module of a sidecar.
 fn new_balancer(scenario: &Scenario, sidecar_index: usize, zone: usize, incarnation: u32) -> Balancer {
     let class =
         |idempotency| Class { latency_target: 400.0, value: 1.0, late_value_fraction: 0.2, idempotency };
@@ -1490,8 +1604,5 @@
         cold_start: scenario.cold_start.clone(),
         discovery: scenario.discovery,
     };
-    let seed = scenario.seed
-        ^ (sidecar_index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
-        ^ u64::from(incarnation) << 48;
-    Balancer::new(settings, seed)
+    Balancer::new(settings, sidecar_seed(scenario, sidecar_index, incarnation))
 }
--- a/tests/hollow.rs
+++ b/tests/hollow.rs
@@ -43,12 +43,14 @@
     }
 }
 
-const FAULTS: [Fault; 5] = [
+const FAULTS: [Fault; 7] = [
     Fault::None,
     Fault::ZoneOutage { start_ms: 4_000, end_ms: 14_000 },
     Fault::DiscoveryNodeLoss { start_ms: 8_000, silent: false },
     Fault::DiscoveryNodeLoss { start_ms: 8_000, silent: true },
     Fault::RegionPartition { start_ms: 4_000, end_ms: 14_000 },
+    Fault::SlowDiscovery { start_ms: 8_000, delay_ms: 3_000 },
+    Fault::CrowdedDiscovery { start_ms: 8_000, calls_per_s: 4 },
 ];
 
 fn run(scenario: Scenario) -> Report {
