--- a/src/subscription/mod.rs
+++ b/src/subscription/mod.rs
@@ -7,13 +7,12 @@
 //! former one. This serves both modes of membership and reloads of the configuration.
 
 mod call_schedule;
+mod connections;
 mod list_versions;
 mod request_schedule;
 mod state;
 
+pub use connections::{ConnectionId, MAX_CONNECTIONS, WATCH_IDLE_TIMEOUT};
 pub use list_versions::UpdateInfo;
 pub(crate) use request_schedule::RequestSchedule;
-pub use state::{
-    Action, ConnectionId, MAX_CONNECTIONS, Subscription, SubscriptionSettings, UpdateVerdict,
-    WATCH_IDLE_TIMEOUT,
-};
+pub use state::{Action, Subscription, SubscriptionSettings, UpdateVerdict};
--- a/src/subscription/state.rs
+++ b/src/subscription/state.rs
@@ -3,17 +3,10 @@
 use std::net::SocketAddr;
 
 use super::call_schedule::CallSchedule;
+use super::connections::{Connection, ConnectionId, Connections, Stage, WATCH_IDLE_TIMEOUT};
 use super::list_versions::{ListVersions, UpdateInfo};
 use crate::api::Millis;
 
-/// A watch on which no update starts or ends and no empty line arrives for this long is silent: discovery sends an empty
-/// line every 2 s. Calls are then made beside it.
-pub const WATCH_IDLE_TIMEOUT: Millis = 2_500.0;
-/// Maximum number of open connections: a watch, and calls without an answer.
-pub const MAX_CONNECTIONS: usize = 9;
-/// While all connections are in use, the one that has waited longest keeps its place for this long, so that a
-/// discovery that needs longer than the other calls are kept can be heard as well.
-const LONGEST_KEPT_WAIT: Millis = 30_000.0;
 /// A call that fails within this time was refused without waiting for its turn.
 const PROMPT_FAILURE_TIME: Millis = 250.0;
 /// A watch that was open for this long counts as useful even if nothing has changed meanwhile.
@@ -21,10 +14,6 @@
 /// Delay before a snapshot with invalid entries is requested again: the next one may have the same.
 const INVALID_SNAPSHOT_DELAY: Millis = 2_000.0;
 
-/// Identifies a connection to discovery.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ConnectionId(pub u64);
-
 /// The settings of a subscription.
 #[derive(Debug, Clone, Copy)]
 pub struct SubscriptionSettings {
@@ -63,46 +52,6 @@
     Ignore,
 }
 
-/// How far a connection has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Stage {
-    /// Discovery has not answered yet.
-    Calling,
-    /// Discovery has sent the head of its response.
-    Accepted,
-    /// Discovery has sent an update or an empty line.
-    Delivering,
-}
-
-/// An open connection.
-#[derive(Debug)]
-struct Connection {
-    id: ConnectionId,
-    address: SocketAddr,
-    stage: Stage,
-    opened_at: Millis,
-    /// When it was opened, or when something that counts as progress last arrived on it.
-    last_progress: Millis,
-    /// When it began to deliver.
-    delivering_since: Millis,
-    /// Whether an update has begun and not ended.
-    update_incomplete: bool,
-    /// The version of its last update, or the one from which it started.
-    version: u64,
-    /// Whether it has delivered a version that was not in force before.
-    delivered_news: bool,
-    /// Whether the log already says that it has fallen silent.
-    silence_logged: bool,
-    /// Whether the log already says that it delivers an older list.
-    older_list_logged: bool,
-}
-
-impl Connection {
-    fn is_idle(&self, now: Millis) -> bool {
-        now >= self.last_progress + WATCH_IDLE_TIMEOUT
-    }
-}
-
 /// A snapshot that will be requested again.
 #[derive(Debug, Clone, Copy)]
 struct Refetch {
@@ -116,8 +65,7 @@
 pub struct Subscription {
     pushed: bool,
     address: SocketAddr,
-    connections: Vec<Connection>,
-    last_connection: u64,
+    connections: Connections,
     versions: ListVersions,
     schedule: CallSchedule,
     /// When to call next, unless a watch delivers until then. `None` while the decision module has to ask for a call.
@@ -140,8 +88,7 @@
         Subscription {
             pushed: settings.pushed,
             address,
-            connections: Vec::new(),
-            last_connection: 0,
+            connections: Connections::default(),
             versions: ListVersions::new(saved_version),
             schedule: CallSchedule::new(settings.drain_grace, settings.pushed, seed),
             next_call_at: settings.pushed.then_some(0.0),
@@ -205,7 +152,7 @@
     /// Discovery has sent the head of a successful response.
     pub fn on_accepted(&mut self, id: ConnectionId, now: Millis) {
         self.record_progress(id, now);
-        if let Some(open) = self.connection(id) {
+        if let Some(open) = self.connections.get_mut(id) {
             open.stage = open.stage.max(Stage::Accepted);
         }
     }
@@ -213,7 +160,7 @@
     /// The first part of an update has arrived.
     pub fn on_update_started(&mut self, id: ConnectionId, now: Millis) {
         self.record_progress(id, now);
-        if let Some(open) = self.connection(id) {
+        if let Some(open) = self.connections.get_mut(id) {
             open.update_incomplete = true;
         }
     }
@@ -234,7 +181,7 @@
         out: &mut Vec<Action>,
     ) -> UpdateVerdict {
         self.record_progress(id, now);
-        let Some(open) = self.connection(id) else { return UpdateVerdict::Ignore };
+        let Some(open) = self.connections.get_mut(id) else { return UpdateVerdict::Ignore };
         open.update_incomplete = false;
         let previous = std::mem::replace(&mut open.version, update.version);
         if !update.is_snapshot && update.version < previous {
@@ -245,7 +192,7 @@
         }
         let in_force = self.versions.applied();
         let accepted = self.versions.accept(update);
-        if let Some(open) = self.connection(id) {
+        if let Some(open) = self.connections.get_mut(id) {
             open.delivered_news |= update.version > in_force;
             if !accepted && !std::mem::replace(&mut open.older_list_logged, true) {
                 out.push(Action::Log(format!(
@@ -268,8 +215,7 @@
         now: Millis,
         out: &mut Vec<Action>,
     ) {
-        let Some(index) = self.connections.iter().position(|open| open.id == id) else { return };
-        let ended = self.connections.swap_remove(index);
+        let Some(ended) = self.connections.remove(id) else { return };
         self.refetch = self.refetch.filter(|refetch| refetch.connection != id);
         if update_lost || ended.update_incomplete {
             self.versions.request_snapshot();
@@ -284,13 +230,9 @@
         }
     }
 
-    fn connection(&mut self, id: ConnectionId) -> Option<&mut Connection> {
-        self.connections.iter_mut().find(|open| open.id == id)
-    }
-
     /// The connections to the current address.
     fn current_connections(&self) -> impl Iterator<Item = &Connection> {
-        self.connections.iter().filter(|open| open.address == self.address)
+        self.connections.to(self.address)
     }
 
     fn has_current_connection(&self) -> bool {
@@ -307,7 +249,7 @@
     /// Records progress on a connection. While an answer of the current address makes progress no call is made.
     fn record_progress(&mut self, id: ConnectionId, now: Millis) {
         let address = self.address;
-        let Some(open) = self.connection(id) else { return };
+        let Some(open) = self.connections.get_mut(id) else { return };
         open.last_progress = now;
         if open.address == address {
             self.next_call_at = Some(now + WATCH_IDLE_TIMEOUT);
@@ -318,7 +260,7 @@
     /// closed.
     fn on_delivered(&mut self, id: ConnectionId, now: Millis, out: &mut Vec<Action>) {
         let (address, in_force) = (self.address, self.versions.applied());
-        let Some(open) = self.connection(id) else { return };
+        let Some(open) = self.connections.get_mut(id) else { return };
         let began_delivering = std::mem::replace(&mut open.stage, Stage::Delivering) != Stage::Delivering;
         if began_delivering {
             open.delivering_since = now;
@@ -334,12 +276,7 @@
         self.schedule.restart();
         self.retry_until_answered = self.pushed;
         self.failure_logged = false;
-        self.connections.retain(|open| {
-            if open.id != id {
-                out.push(Action::Close(open.id));
-            }
-            open.id == id
-        });
+        out.extend(self.connections.remove_others(id).into_iter().map(Action::Close));
         self.refetch = self.refetch.filter(|refetch| refetch.connection == id);
     }
 
@@ -401,35 +338,18 @@
     /// Calls discovery beside the connections that are open.
     fn call(&mut self, now: Millis, out: &mut Vec<Action>) {
         self.note_silent_watches(now, out);
-        self.make_room(now, out);
-        self.last_connection += 1;
-        let id = ConnectionId(self.last_connection);
+        out.extend(self.connections.make_room(now).map(Action::Close));
         let from_version = self.versions.resume_from();
-        self.connections.push(Connection {
-            id,
-            address: self.address,
-            stage: Stage::Calling,
-            opened_at: now,
-            last_progress: now,
-            delivering_since: now,
-            update_incomplete: false,
-            version: from_version,
-            delivered_news: false,
-            silence_logged: false,
-            older_list_logged: false,
-        });
-        out.push(Action::Open { connection: id, address: self.address, from_version });
+        let connection = self.connections.open(self.address, from_version, now);
+        out.push(Action::Open { connection, address: self.address, from_version });
         self.next_call_at = Some(now + self.schedule.wait_beside_call());
     }
 
     /// Handles watches of the current address that have fallen silent: the calls beside them are repeated until one is
     /// answered, and request a snapshot if an update was cut off.
     fn note_silent_watches(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let address = self.address;
-        let silent = self
-            .connections
-            .iter_mut()
-            .filter(|open| open.address == address && open.stage > Stage::Calling && open.is_idle(now));
+        let answered = self.connections.to_mut(self.address).filter(|open| open.stage > Stage::Calling);
+        let silent = answered.filter(|open| open.is_idle(now));
         for open in silent {
             self.retry_until_answered = true;
             if open.update_incomplete {
@@ -443,15 +363,4 @@
             }
         }
     }
-
-    /// Closes a connection if no further one may be opened: the one that has waited longest, or the next one while the
-    /// first has waited less than [`LONGEST_KEPT_WAIT`].
-    fn make_room(&mut self, now: Millis, out: &mut Vec<Action>) {
-        while self.connections.len() >= MAX_CONNECTIONS {
-            self.connections.sort_by(|a, b| a.last_progress.total_cmp(&b.last_progress));
-            let keep_first = now - self.connections[0].last_progress < LONGEST_KEPT_WAIT;
-            let closed = self.connections.remove(usize::from(keep_first));
-            out.push(Action::Close(closed.id));
-        }
-    }
 }
