--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -15,7 +15,7 @@
 /// Number of bytes in the longest request or response body that the sidecar forwards.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
 /// The lowest memory limit of a deployment.
-const LOWEST_MEMORY_LIMIT_MIB: u64 = 32;
+pub const LOWEST_MEMORY_LIMIT_MIB: u64 = 32;
 /// The same in KiB.
 pub const LOWEST_MEMORY_LIMIT_KIB: u64 = LOWEST_MEMORY_LIMIT_MIB << 10;
 /// Upper bound on every wait in these tests; reaching it fails the test.
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -386,3 +386,45 @@
         wait_until("the old upstream serves", || client.exchange("fetch").body == b"old");
     }
 }
+
+/// Number of calls that are answered with an update that never ends.
+const INCOMPLETE_UPDATES: usize = 4;
+/// Size of such an update, just below the longest one that is accepted.
+const INCOMPLETE_UPDATE_BYTES: usize = 2_000_000;
+
+/// Answers the first calls with updates that never end, and later ones with this list.
+fn discovery_with_incomplete_updates(list: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let incomplete =
+            format!(r#"{{"seq":9,"whole":true,"hosts":[{}"#, " ".repeat(INCOMPLETE_UPDATE_BYTES));
+        for (call, stream) in listener.incoming().flatten().enumerate() {
+            let text = if call < INCOMPLETE_UPDATES { incomplete.clone() } else { format!("{list}\n") };
+            std::thread::spawn(move || {
+                let mut stream = stream;
+                let _ = read_message(&mut BufReader::new(stream.try_clone().unwrap()));
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                let _ = write!(stream, "{:x}\r\n{text}\r\n", text.len());
+                std::thread::sleep(Duration::from_secs(60));
+            });
+        }
+    });
+    address
+}
+
+/// Guards against the memory of several updates that are received at the same time, and against updates that never end
+/// and keep later ones from being received.
+#[test]
+fn incomplete_updates_neither_exceed_the_memory_limit_nor_hold_up_others() {
+    let upstreams = Upstreams::start();
+    let address = discovery_with_incomplete_updates(host_list(9, true, &upstreams.entries_after()));
+    let known = ready_hosts(&[&upstreams.old]);
+    let memory_limit = format!(r#""memory_mb":{}"#, loopback::LOWEST_MEMORY_LIMIT_MIB);
+    let config = config_json("127.0.0.1:0", address, &known, 1024, SETTINGS_JSON);
+    let sidecar = Sidecar::start(&config.replace(r#""memory_mb":192"#, &memory_limit));
+    let mut client = Client::connect(sidecar.address);
+    wait_until("the new upstream serves", || client.exchange("fetch").body == b"new");
+    let peak_kib = sidecar.peak_memory_kib();
+    assert!(peak_kib < loopback::LOWEST_MEMORY_LIMIT_KIB, "{peak_kib} KiB");
+}
