Calls after a silence are jittered, and a watch with nothing to tell is not taken for a slow answer

Found with 300 real sidecars whose watches fall silent together: all called in the same moment, 43 to 69 of the connections were lost in the full accept queue and came up 1.0 s later (change in force after 3.02 s, where 2.5 s were expected), and no second call was made meanwhile. The wait after the end of a watch was jittered, that after a silence was not. And the time of the last answer, from which the wait for a second call follows, was taken at the first line of the watch: a discovery that has nothing to tell sends none for 2 s, so that the second call waited for 2.1 to 2.5 s.

The wait after a silence is now drawn from 0 to 50 ms where lists are pushed and to 200 ms where they are requested, and that after the end of a watch likewise (300 ms before where requested).

--- a/src/subscription/call_schedule.rs
+++ b/src/subscription/call_schedule.rs
@@ -22,10 +22,10 @@
 const BACKOFF_CAP_PER_DRAIN_GRACE: f64 = 0.25;
 /// Bounds of the backoff cap: they limit the cost of retries, and leave time for several calls within 6 s.
 const BACKOFF_CAP_BOUNDS: [Millis; 2] = [50.0, 500.0];
-/// The longest wait before a watch that was ended is reopened, where lists are pushed and where they are requested.
-/// Where they are requested all sidecars share one service, so their calls are spread over a longer time.
+/// The longest wait before a watch that has ended or fallen silent is reopened, where lists are pushed and where they
+/// are requested. Where they are requested all sidecars share one service, so their calls are spread over a longer time.
 const PUSHED_REOPEN_WAIT: Millis = 50.0;
-const REQUESTED_REOPEN_WAIT: Millis = 300.0;
+const REQUESTED_REOPEN_WAIT: Millis = 200.0;
 /// Number of reloads in quick succession after which a new address is called at once.
 const MAX_PROMPT_RELOADS: f64 = 3.0;
 /// Time in which one more such call is allowed.
@@ -106,7 +106,12 @@
         (1.0 - self.prompt_reloads) * PROMPT_RELOAD_INTERVAL
     }
 
-    /// Records how long a call took until discovery was heard.
+    /// The wait after a watch has fallen silent. Full jitter: the watches of many sidecars fall silent together.
+    pub fn wait_after_silence(&mut self) -> Millis {
+        self.draw([0.0, self.initial_reopen_wait])
+    }
+
+    /// Records how long a call took until the head of its response came.
     pub fn record_answer(&mut self, answer_time: Millis) {
         self.answer_time = answer_time;
     }
--- a/src/subscription/state.rs
+++ b/src/subscription/state.rs
@@ -152,8 +152,12 @@
     /// Discovery has sent the head of a successful response.
     pub fn on_accepted(&mut self, id: ConnectionId, now: Millis) {
         self.record_progress(id, now);
-        if let Some(open) = self.connections.get_mut(id) {
-            open.stage = open.stage.max(Stage::Accepted);
+        let address = self.address;
+        let Some(open) = self.connections.get_mut(id) else { return };
+        open.stage = open.stage.max(Stage::Accepted);
+        if open.address == address {
+            let answer_time = now - open.opened_at;
+            self.schedule.record_answer(answer_time);
         }
     }
 
@@ -252,7 +256,7 @@
         let Some(open) = self.connections.get_mut(id) else { return };
         open.last_progress = now;
         if open.address == address {
-            self.next_call_at = Some(now + WATCH_IDLE_TIMEOUT);
+            self.next_call_at = Some(now + WATCH_IDLE_TIMEOUT + self.schedule.wait_after_silence());
         }
     }
 
@@ -266,13 +270,9 @@
             open.delivering_since = now;
         }
         open.silence_logged = false;
-        let answer_time = now - open.opened_at;
         if open.address != address || open.version < in_force {
             return;
         }
-        if began_delivering {
-            self.schedule.record_answer(answer_time);
-        }
         self.schedule.restart();
         self.retry_until_answered = self.pushed;
         self.failure_logged = false;
